feat: the gateway on the prepared platform, thin path whole

Cause: the product could not be started on the prepared platform, which has routes by host and prefix, self-registered backend servers and a store of rows. Ruled out: actix-http and awc for this path; a connection's own driver is needed to close it at once and to see late answers, which awc's pool hides. hyper's connection-level client and server are their nearest kin.

--- /dev/null
+++ b/crates/verbenahinge-core/src/gateway/backend.rs
@@ -0,0 +1,402 @@
+//! What one VM believes about one backend server.
+//!
+//! Own dispatches count at once; those of other VMs arrive in digests; the server's own word is
+//! late and the same for every VM, so that it only corrects. `docs/design/platform.md` has the
+//! model of an engine.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::{Call, CallId, PartId};
+use crate::{FailureKind, Timestamp, VmId};
+
+/// Reading speed of an engine before any first token has been measured, in tokens per ms.
+const READ_RATE_START: f64 = 45.0;
+
+/// Range in which a measured reading speed is believed, in tokens per ms.
+const READ_RATE_RANGE: (f64, f64) = (5.0, 400.0);
+
+/// Weight of a new measurement of the reading speed.
+const READ_RATE_GAIN: f64 = 0.1;
+
+/// Tokens below which the wait for a first token says little about the reading speed.
+const READ_SAMPLE_MIN: f64 = 3000.0;
+
+/// Additional cost of reading one token for each token of context before it, as a part.
+const CONTEXT_COST: f64 = 2.5e-5;
+
+/// Time after which a VM that sent no digest is taken not to load the server any more.
+const PEER_TTL: Duration = Duration::from_millis(2500);
+
+/// Time after which a part that was not used again is taken to be evicted.
+const PART_TTL: Duration = Duration::from_secs(40);
+
+/// Parts of prompts that are remembered for one server.
+const PART_LIMIT: usize = 600;
+
+/// First time for which a server that failed gets nothing.
+const EJECT_BASE: Duration = Duration::from_millis(700);
+
+/// Longest time for which a server that failed gets nothing.
+const EJECT_MAX: Duration = Duration::from_secs(4);
+
+/// Failures in a row after which a server gets nothing for a while.
+const EJECT_FAILURES: u32 = 2;
+
+/// Weight of the latest answer in the share of failed answers.
+const ERROR_GAIN: f64 = 0.08;
+
+/// Load of a server as its answers tell it.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct LoadReport {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that may run at once.
+    pub slots: u32,
+}
+
+/// Load that another VM puts on a server.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct PeerLoad {
+    /// Requests in flight.
+    pub running: u32,
+    /// Requests in flight without a first token.
+    pub reading: u32,
+    /// Streams in flight that long reads of others would make late.
+    pub interactive: u32,
+    /// Tokens that its requests hold in memory.
+    pub memory_tokens: u32,
+    /// Tokens that it ever sent to be read, by priority.
+    pub sent_tokens: BTreeMap<u8, u32>,
+}
+
+#[derive(Clone, Debug)]
+struct PeerState {
+    load: PeerLoad,
+    seen: Timestamp,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct InFlight {
+    sent: Timestamp,
+    read_ahead: f64,
+    memory_tokens: u32,
+    reading: bool,
+    interactive: bool,
+}
+
+/// What one VM believes about one backend server.
+#[derive(Clone, Debug)]
+pub struct Backend {
+    in_flight: BTreeMap<CallId, InFlight>,
+    sent_tokens: BTreeMap<u8, u32>,
+    peers: BTreeMap<VmId, PeerState>,
+    backlog: BTreeMap<u8, f64>,
+    backlog_at: Timestamp,
+    read_rate: f64,
+    cached: BTreeMap<PartId, Timestamp>,
+    report: Option<(Timestamp, LoadReport)>,
+    error_share: f64,
+    failures: u32,
+    ejections: u32,
+    ejected_until: Option<Timestamp>,
+    last_progress: Timestamp,
+}
+
+impl Default for Backend {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Backend {
+    /// Creates the state of a server that nothing is known about.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self {
+            in_flight: BTreeMap::new(),
+            sent_tokens: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            backlog: BTreeMap::new(),
+            backlog_at: Duration::ZERO,
+            read_rate: READ_RATE_START,
+            cached: BTreeMap::new(),
+            report: None,
+            error_share: 0.0,
+            failures: 0,
+            ejections: 0,
+            ejected_until: None,
+            last_progress: Duration::ZERO,
+        }
+    }
+
+    /// Forgets what does not outlive the server's process; requests in flight end by themselves.
+    pub fn restart(&mut self) {
+        self.cached.clear();
+        self.backlog.clear();
+        self.report = None;
+        self.error_share = 0.0;
+        self.failures = 0;
+        self.ejections = 0;
+        self.ejected_until = None;
+    }
+
+    /// Cost of reading what of a prompt is not cached, in tokens that are read without context.
+    #[must_use]
+    pub fn read_cost_of(prompt_tokens: f64, uncached: f64) -> f64 {
+        let context = prompt_tokens - uncached / 2.0;
+        uncached * (1.0 + CONTEXT_COST * context.max(0.0))
+    }
+
+    /// Says whether this VM sent the part here lately.
+    #[must_use]
+    pub fn has_part(&self, now: Timestamp, part: PartId) -> bool {
+        self.cached
+            .get(&part)
+            .is_some_and(|&used| used + PART_TTL > now)
+    }
+
+    /// Takes note of a request that is sent to the server.
+    pub fn note_sent(&mut self, now: Timestamp, call: &Call, read_cost: f64, interactive: bool) {
+        self.drain_backlog(now);
+        let priority = call.priority();
+        let tokens = to_tokens(read_cost);
+        let ahead = self.backlog_until(priority) + read_cost;
+        *self.backlog.entry(priority).or_default() += read_cost;
+        let sent = self.sent_tokens.entry(priority).or_default();
+        *sent = sent.wrapping_add(tokens);
+        let mut memory_tokens = 0;
+        if let Some(prompt) = &call.prompt {
+            memory_tokens = prompt.prompt_tokens + prompt.max_output_tokens / 2;
+            for part in &prompt.parts {
+                self.cached.insert(part.id, now);
+            }
+            self.bound_cached();
+        }
+        let request = InFlight {
+            sent: now,
+            read_ahead: ahead,
+            memory_tokens,
+            reading: true,
+            interactive,
+        };
+        self.in_flight.insert(call.id, request);
+    }
+
+    fn bound_cached(&mut self) {
+        while self.cached.len() > PART_LIMIT {
+            let oldest = self.cached.iter().min_by_key(|(_, used)| **used);
+            let Some((&part, _)) = oldest else {
+                return;
+            };
+            self.cached.remove(&part);
+        }
+    }
+
+    /// Takes note of the first token of a request.
+    pub fn note_first_token(&mut self, now: Timestamp, call: CallId) {
+        self.last_progress = now;
+        let Some(request) = self.in_flight.get_mut(&call) else {
+            return;
+        };
+        if !request.reading {
+            return;
+        }
+        request.reading = false;
+        let waited_ms = now.saturating_sub(request.sent).as_secs_f64() * 1000.0;
+        if request.read_ahead >= READ_SAMPLE_MIN && waited_ms > 0.0 {
+            let (least, most) = READ_RATE_RANGE;
+            let sample = (request.read_ahead / waited_ms).clamp(least, most);
+            self.read_rate += READ_RATE_GAIN * (sample - self.read_rate);
+        }
+    }
+
+    /// Takes note that bytes arrived from the server.
+    pub fn note_progress(&mut self, now: Timestamp) {
+        self.last_progress = now;
+    }
+
+    /// When bytes last arrived from the server.
+    #[must_use]
+    pub const fn last_progress(&self) -> Timestamp {
+        self.last_progress
+    }
+
+    /// Takes note that a request has left the server.
+    pub fn note_ended(&mut self, call: CallId) {
+        self.in_flight.remove(&call);
+        if self.in_flight.is_empty() && self.peers_total(|load| load.reading) == 0 {
+            self.backlog.clear();
+        }
+    }
+
+    /// Takes note of an answer of the server, good or not.
+    pub fn note_answer(&mut self, now: Timestamp, good: bool) {
+        self.last_progress = now;
+        let sample = if good { 0.0 } else { 1.0 };
+        self.error_share += ERROR_GAIN * (sample - self.error_share);
+        if good {
+            self.failures = 0;
+            self.ejections = 0;
+            self.ejected_until = None;
+        }
+    }
+
+    /// Takes note of a failure; says whether the server gets nothing from now on.
+    pub fn note_failure(&mut self, now: Timestamp, kind: FailureKind) -> bool {
+        self.error_share += ERROR_GAIN * (1.0 - self.error_share);
+        if !kind.blames_server() {
+            return false;
+        }
+        self.failures += 1;
+        let at_once = kind == FailureKind::ConnectFailed;
+        if !at_once && self.failures < EJECT_FAILURES {
+            return false;
+        }
+        let factor = 1 << self.ejections.min(4);
+        self.ejections += 1;
+        self.failures = 0;
+        self.ejected_until = Some(now + (EJECT_BASE * factor).min(EJECT_MAX));
+        self.cached.clear();
+        true
+    }
+
+    /// Says whether the server gets nothing for now.
+    #[must_use]
+    pub fn is_ejected(&self, now: Timestamp) -> bool {
+        self.ejected_until.is_some_and(|until| until > now)
+    }
+
+    /// Share of the latest answers that failed.
+    #[must_use]
+    pub const fn error_share(&self) -> f64 {
+        self.error_share
+    }
+
+    /// Takes in the load that the server tells.
+    pub fn note_report(&mut self, now: Timestamp, report: LoadReport) {
+        self.report = Some((now, report));
+    }
+
+    /// Takes in the load that another VM puts on the server.
+    pub fn note_peer(&mut self, now: Timestamp, vm: VmId, load: PeerLoad) {
+        self.drain_backlog(now);
+        if let Some(old) = self.peers.get(&vm) {
+            for (&priority, &sent) in &load.sent_tokens {
+                let before = old.load.sent_tokens.get(&priority).copied().unwrap_or(0);
+                let news = sent.wrapping_sub(before);
+                // A counter that went back belongs to a process that started again.
+                if news < u32::MAX / 2 {
+                    *self.backlog.entry(priority).or_default() += f64::from(news);
+                }
+            }
+        }
+        self.peers.insert(vm, PeerState { load, seen: now });
+    }
+
+    /// Drops the load of VMs that have fallen silent.
+    pub fn expire_peers(&mut self, now: Timestamp) {
+        self.peers.retain(|_, peer| peer.seen + PEER_TTL > now);
+    }
+
+    fn peers_total(&self, field: impl Fn(&PeerLoad) -> u32) -> u32 {
+        self.peers.values().map(|peer| field(&peer.load)).sum()
+    }
+
+    fn drain_backlog(&mut self, now: Timestamp) {
+        let elapsed_ms = now.saturating_sub(self.backlog_at).as_secs_f64() * 1000.0;
+        self.backlog_at = now;
+        let mut left = elapsed_ms * self.read_rate;
+        for tokens in self.backlog.values_mut() {
+            let read = tokens.min(left);
+            *tokens -= read;
+            left -= read;
+        }
+        self.backlog.retain(|_, tokens| *tokens > 0.0);
+    }
+
+    fn backlog_until(&self, priority: u8) -> f64 {
+        self.backlog.range(..=priority).map(|(_, tokens)| tokens).sum()
+    }
+
+    /// Tokens that are read before those of a new request of the given priority.
+    #[must_use]
+    pub fn read_ahead(&self, now: Timestamp, priority: u8) -> f64 {
+        let elapsed_ms = now.saturating_sub(self.backlog_at).as_secs_f64() * 1000.0;
+        (self.backlog_until(priority) - elapsed_ms * self.read_rate).max(0.0)
+    }
+
+    /// Tokens that wait to be read, of all priorities.
+    #[must_use]
+    pub fn backlog_tokens(&self, now: Timestamp) -> f64 {
+        self.read_ahead(now, u8::MAX)
+    }
+
+    /// Reading speed of the engine, in tokens per ms.
+    #[must_use]
+    pub const fn read_rate(&self) -> f64 {
+        self.read_rate
+    }
+
+    /// Requests in flight, of all VMs.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        count(self.in_flight.len()) + self.peers_total(|load| load.running)
+    }
+
+    /// Requests in flight of this VM.
+    #[must_use]
+    pub fn own_running(&self) -> u32 {
+        count(self.in_flight.len())
+    }
+
+    /// Requests that the server itself says it has, if it said so within the given time.
+    #[must_use]
+    pub fn reported(&self, now: Timestamp, within: Duration) -> Option<LoadReport> {
+        let (at, report) = self.report?;
+        (at + within > now).then_some(report)
+    }
+
+    /// Streams in flight that long reads of others would make late, of all VMs.
+    #[must_use]
+    pub fn interactive(&self) -> u32 {
+        let own = self.in_flight.values().filter(|call| call.interactive);
+        count(own.count()) + self.peers_total(|load| load.interactive)
+    }
+
+    /// Tokens that requests in flight hold in memory, of all VMs.
+    #[must_use]
+    pub fn memory_tokens(&self) -> u32 {
+        let own: u32 = self.in_flight.values().map(|call| call.memory_tokens).sum();
+        own.saturating_add(self.peers_total(|load| load.memory_tokens))
+    }
+
+    /// Load that this VM puts on the server.
+    #[must_use]
+    pub fn own_load(&self) -> PeerLoad {
+        let reading = self.in_flight.values().filter(|call| call.reading);
+        let interactive = self.in_flight.values().filter(|call| call.interactive);
+        PeerLoad {
+            running: count(self.in_flight.len()),
+            reading: count(reading.count()),
+            interactive: count(interactive.count()),
+            memory_tokens: self.in_flight.values().map(|call| call.memory_tokens).sum(),
+            sent_tokens: self.sent_tokens.clone(),
+        }
+    }
+}
+
+fn count(len: usize) -> u32 {
+    u32::try_from(len).unwrap_or(u32::MAX)
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the value is clamped to the range of the type"
+)]
+fn to_tokens(cost: f64) -> u32 {
+    cost.clamp(0.0, f64::from(u32::MAX)) as u32
+}
--- /dev/null
+++ b/crates/verbenahinge-core/src/gateway/placement.rs
@@ -0,0 +1,328 @@
+//! Choice of the backend server for one request.
+//!
+//! Load pattern for engines: long prompts that share their first parts arrive beside short ones
+//! whose streams must not pause. Prompts with equal first parts go to the same engine, so that it
+//! reads them once; short streams get engines of their own, since the chunks of a long prompt
+//! delay every token beside them; a request whose wait would exceed its target goes where the
+//! wait is shorter, or is refused.
+//!
+//! Load pattern for plain services: few slots, short work, some servers that fail part of their
+//! requests or turn slow; the request goes to the least loaded server of those that answer well.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::{Backend, Call, EngineLimits, ServerEntry};
+use crate::hash::{hash64, mix64};
+use crate::{ServerName, Timestamp};
+
+/// Time that an engine takes for one step while it reads long prompts.
+const LOADED_STEP: Duration = Duration::from_millis(55);
+
+/// Tokens that an engine reads while a stream beside it makes one event on time.
+const QUIET_READ_TOKENS: f64 = 6000.0;
+
+/// Cost of a stream that becomes late, in requests.
+const LATE_COST: f64 = 0.8;
+
+/// Cost of the reading time of an engine, for each target's worth of it.
+const READ_TIME_COST: f64 = 0.6;
+
+/// Part of the shared tokens that the first choice of a prompt is expected to have cached.
+const HOME_CACHED: f64 = 0.7;
+
+/// Cost of leaving the engines that are meant for the kind of request.
+const LANE_COST: f64 = 0.5;
+
+/// Part of an engine's memory that running requests may fill before others are preempted.
+const MEMORY_PART: f64 = 0.85;
+
+/// Cost of a place where running requests would be preempted or wait for a slot.
+const FULL_COST: f64 = 4.0;
+
+/// Part of the target that the wait may take before it costs.
+const WAIT_FREE: f64 = 0.4;
+
+/// Part of the target within which the first event of a new request has to be expected.
+const ADMIT_WAIT: f64 = 0.9;
+
+/// Part of the patience of a caller within which the first event has to be expected at all.
+const PATIENCE_PART: f64 = 0.7;
+
+/// Cost of a plain request in flight, against a server that fails all its requests.
+const ERROR_COST_REQUESTS: f64 = 8.0;
+
+/// Cost of crossing availability zones, in plain requests in flight.
+const ZONE_COST_REQUESTS: f64 = 0.4;
+
+/// Age up to which the load that a plain server tells is used.
+const REPORT_AGE: Duration = Duration::from_millis(400);
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// Backend server that it goes to.
+    pub server: ServerName,
+    /// Cost of reading its prompt there, in tokens.
+    pub read_cost: f64,
+    /// Expected time to its first event there.
+    pub expected_wait: Duration,
+    /// Whether reads of others would make it late.
+    pub interactive: bool,
+}
+
+/// Why a request goes nowhere.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum NoChoice {
+    /// No backend server of the service can be used.
+    NoServer,
+    /// The first event would come too late; the wait that is expected at best.
+    TooLate(Duration),
+    /// All places are taken.
+    Full,
+}
+
+/// A backend server that may be chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// Its entry in the registry.
+    pub entry: &'a ServerEntry,
+    /// What is believed about it.
+    pub backend: &'a Backend,
+}
+
+/// What a choice depends on beside the request.
+#[derive(Clone, Copy, Debug)]
+pub struct Placement<'a> {
+    /// Moment of the choice.
+    pub now: Timestamp,
+    /// Availability zone of this VM.
+    pub availability_zone: &'a str,
+    /// Limits of the engines, if the service consists of model engines.
+    pub engine: Option<EngineLimits>,
+    /// Engines that are kept for interactive streams.
+    pub interactive_engines: usize,
+}
+
+impl Placement<'_> {
+    /// Says whether the streams of a call become late when an engine reads long prompts.
+    #[must_use]
+    pub fn is_interactive(&self, call: &Call) -> bool {
+        let (Some(engine), Some(gap_target)) = (self.engine, call.route.gap_target) else {
+            return false;
+        };
+        gap_target <= LOADED_STEP * engine.tokens_per_event
+    }
+
+    /// Chooses a server for a call.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no server is of use.
+    pub fn choose(&self, call: &Call, candidates: &[Candidate]) -> Result<Choice, NoChoice> {
+        let mut usable: Vec<Candidate> = Vec::new();
+        for candidate in candidates {
+            if !candidate.backend.is_ejected(self.now) {
+                usable.push(*candidate);
+            }
+        }
+        // When most of a service seems to be dead, the fault is likely on this side.
+        if usable.len() * 2 < candidates.len() {
+            usable = candidates.to_vec();
+        }
+        if usable.is_empty() {
+            return Err(NoChoice::NoServer);
+        }
+        match (self.engine, &call.prompt) {
+            (Some(engine), Some(_)) => self.choose_engine(call, &usable, engine),
+            _ => self.choose_plain(call, &usable),
+        }
+    }
+
+    fn choose_plain(&self, call: &Call, candidates: &[Candidate]) -> Result<Choice, NoChoice> {
+        let mut best: Option<(f64, &Candidate)> = None;
+        for candidate in candidates {
+            let cost = self.plain_cost(call, candidate);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, candidate));
+            }
+        }
+        let Some((_, candidate)) = best else {
+            return Err(NoChoice::NoServer);
+        };
+        Ok(Choice {
+            server: candidate.entry.id.clone(),
+            read_cost: 0.0,
+            expected_wait: Duration::ZERO,
+            interactive: false,
+        })
+    }
+
+    fn plain_cost(&self, call: &Call, candidate: &Candidate) -> f64 {
+        let backend = candidate.backend;
+        let known = f64::from(backend.running());
+        let told = backend.reported(self.now, REPORT_AGE).map_or(0.0, |report| {
+            f64::from(report.running.saturating_sub(1) + report.waiting)
+        });
+        let slots = f64::from(candidate.entry.slots.max(1));
+        let load = known.max(told);
+        // Beyond its slots a server queues, which costs more than another zone.
+        let queued = (load + 1.0 - slots).max(0.0);
+        let is_near = *candidate.entry.availability_zone == *self.availability_zone;
+        let zone = if is_near { 0.0 } else { ZONE_COST_REQUESTS };
+        let errors = ERROR_COST_REQUESTS * backend.error_share();
+        let cold = if candidate.entry.warm_up.is_zero() { 0.0 } else { 1.0 };
+        let spread = mix64(call.id, hash64(candidate.entry.id.as_bytes())) % 1000;
+        let tie = f64::from(u32::try_from(spread).unwrap_or(0)) / 10_000.0;
+        load + queued * 4.0 + zone + errors + cold + tie
+    }
+
+    fn choose_engine(
+        &self,
+        call: &Call,
+        candidates: &[Candidate],
+        engine: EngineLimits,
+    ) -> Result<Choice, NoChoice> {
+        let interactive = self.is_interactive(call);
+        let lane = self.interactive_lane(candidates);
+        let home = home_of(call, candidates, &lane, interactive);
+        let mut best: Option<(f64, Choice)> = None;
+        let mut least_wait: Option<Duration> = None;
+        for candidate in candidates {
+            let in_lane = lane.contains(&candidate.entry.id) == interactive;
+            let is_home = home.as_ref() == Some(&candidate.entry.id);
+            let (mut cost, choice) = self.engine_cost(call, candidate, engine, interactive, is_home);
+            if !in_lane {
+                cost += LANE_COST;
+            }
+            least_wait = Some(least_wait.map_or(choice.expected_wait, |least| least.min(choice.expected_wait)));
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                best = Some((cost, choice));
+            }
+        }
+        let (Some((cost, choice)), Some(least_wait)) = (best, least_wait) else {
+            return Err(NoChoice::NoServer);
+        };
+        if cost >= FULL_COST {
+            return Err(NoChoice::Full);
+        }
+        if choice.expected_wait > self.admitted_wait(call) {
+            return Err(NoChoice::TooLate(least_wait));
+        }
+        Ok(choice)
+    }
+
+    /// Longest wait for the first event with which a call is admitted.
+    ///
+    /// Under lasting overload, admitting more only makes everyone late, so that a new request has
+    /// to be expected within its target. One that was sent away before is served late as well.
+    fn admitted_wait(&self, call: &Call) -> Duration {
+        let patience = call.patience(self.now).mul_f64(PATIENCE_PART);
+        if call.has_returned() {
+            return patience;
+        }
+        patience.min(call.route.target.mul_f64(ADMIT_WAIT))
+    }
+
+    fn interactive_lane(&self, candidates: &[Candidate]) -> BTreeSet<ServerName> {
+        let mut order: Vec<(u64, &ServerName)> = Vec::new();
+        for candidate in candidates {
+            let id = &candidate.entry.id;
+            order.push((mix64(hash64(id.as_bytes()), 0x6c61_6e65), id));
+        }
+        order.sort_unstable();
+        let most = candidates.len() / 2;
+        order
+            .into_iter()
+            .take(self.interactive_engines.min(most))
+            .map(|(_, id)| id.clone())
+            .collect()
+    }
+
+    fn engine_cost(
+        &self,
+        call: &Call,
+        candidate: &Candidate,
+        engine: EngineLimits,
+        interactive: bool,
+        is_home: bool,
+    ) -> (f64, Choice) {
+        let backend = candidate.backend;
+        let read_cost = self.read_cost(call, backend, is_home);
+        let rate = backend.read_rate();
+        let wait_ms = (backend.read_ahead(self.now, call.priority()) + read_cost) / rate;
+        let target_ms = call.route.target.as_secs_f64() * 1000.0;
+        let waited = wait_ms / target_ms.max(1.0);
+        let mut cost = ((waited - WAIT_FREE) / (1.0 - WAIT_FREE)).max(0.0);
+        cost += READ_TIME_COST * (read_cost / rate) / target_ms.max(1.0);
+        if interactive {
+            let pressed = backend.backlog_tokens(self.now) / QUIET_READ_TOKENS;
+            cost += LATE_COST * pressed.min(1.0);
+        } else {
+            let harmed = f64::from(backend.interactive());
+            cost += LATE_COST * harmed * (read_cost / QUIET_READ_TOKENS).min(1.0) * 0.5;
+        }
+        cost += backend.error_share();
+        let running = backend.running();
+        let slots = candidate.entry.slots.max(1);
+        let memory = f64::from(backend.memory_tokens());
+        let capacity = f64::from(u32::try_from(engine.memory_tokens).unwrap_or(u32::MAX));
+        if running >= slots || (running > 0 && memory > capacity * MEMORY_PART) {
+            cost += FULL_COST;
+        }
+        // Spreads interactive streams over their engines.
+        cost += 0.2 * f64::from(running) / f64::from(slots);
+        let choice = Choice {
+            server: candidate.entry.id.clone(),
+            read_cost,
+            expected_wait: Duration::from_secs_f64(wait_ms / 1000.0),
+            interactive,
+        };
+        (cost, choice)
+    }
+
+    fn read_cost(&self, call: &Call, backend: &Backend, is_home: bool) -> f64 {
+        let Some(prompt) = &call.prompt else {
+            return 0.0;
+        };
+        let mut cached = 0;
+        for part in &prompt.parts {
+            if !backend.has_part(self.now, part.id) {
+                break;
+            }
+            cached += part.tokens;
+        }
+        let shared = prompt.parts.split_last().map_or(0, |(_own, shared)| {
+            shared.iter().map(|part| part.tokens).sum::<u32>()
+        });
+        let mut uncached = f64::from(prompt.prompt_tokens.saturating_sub(cached));
+        if is_home && cached < shared {
+            uncached -= HOME_CACHED * f64::from(shared - cached);
+        }
+        let uncached = uncached.max(0.0);
+        let whole = f64::from(prompt.prompt_tokens);
+        Backend::read_cost_of(whole, uncached)
+    }
+}
+
+/// First choice for a prompt among the engines that are meant for its kind.
+fn home_of(
+    call: &Call,
+    candidates: &[Candidate],
+    lane: &BTreeSet<ServerName>,
+    interactive: bool,
+) -> Option<ServerName> {
+    let key = call.prompt.as_ref()?.shared_key();
+    let mut best: Option<(u64, &ServerName)> = None;
+    for candidate in candidates {
+        let id = &candidate.entry.id;
+        if lane.contains(id) != interactive {
+            continue;
+        }
+        let weight = mix64(key, hash64(id.as_bytes()));
+        if best.is_none_or(|(most, _)| weight > most) {
+            best = Some((weight, id));
+        }
+    }
+    best.map(|(_, id)| id.clone())
+}
--- /dev/null
+++ b/crates/verbenahinge-core/src/gateway/registry.rs
@@ -0,0 +1,174 @@
+//! Backend servers as they registered themselves.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use strum::{Display, IntoStaticStr};
+
+use super::ServiceName;
+use crate::{ServerName, Timestamp, ZoneName};
+
+/// Time after the return of the store within which a live backend server registers again.
+const LAPSE_GRACE: Duration = Duration::from_secs(2);
+
+/// Whether a backend server takes new requests.
+#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum ServerState {
+    /// It takes new requests.
+    Ready,
+    /// It finishes what it has and leaves.
+    Draining,
+}
+
+/// What a backend server says about itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServerEntry {
+    /// Name of the backend server.
+    pub id: ServerName,
+    /// Service that it serves.
+    pub service: ServiceName,
+    /// Where it listens; addresses are used again after a backend server has left.
+    pub address: SocketAddr,
+    /// Availability zone that it runs in.
+    pub availability_zone: ZoneName,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new requests.
+    pub state: ServerState,
+    /// Time for which it stays slow after its start.
+    pub warm_up: Duration,
+    /// Start of the process, as Unix time; a new value means that it forgot everything.
+    pub started_unix_ms: Option<u64>,
+}
+
+/// What became of a backend server.
+#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum RegistryChange {
+    /// It is new.
+    Added,
+    /// It started again and holds nothing of before.
+    Restarted,
+    /// Something else of its entry changed.
+    Updated,
+    /// It takes no new requests any more.
+    Draining,
+    /// It is gone.
+    Removed,
+}
+
+#[derive(Clone, Debug)]
+struct Listed {
+    entry: ServerEntry,
+    missing_until: Option<Timestamp>,
+}
+
+/// Registered backend servers by name.
+#[derive(Clone, Debug, Default)]
+pub struct Registry {
+    servers: BTreeMap<ServerName, Listed>,
+}
+
+impl Registry {
+    /// Takes in an entry; returns what changed, if anything did.
+    pub fn upsert(&mut self, entry: ServerEntry) -> Option<RegistryChange> {
+        let id = entry.id.clone();
+        let state = entry.state;
+        let listed = Listed {
+            entry,
+            missing_until: None,
+        };
+        let old = self.servers.get(&id);
+        let change = match old {
+            None => RegistryChange::Added,
+            Some(old) if old.entry == listed.entry => {
+                self.servers.insert(id, listed);
+                return None;
+            }
+            Some(old) if old.entry.started_unix_ms != listed.entry.started_unix_ms => {
+                RegistryChange::Restarted
+            }
+            Some(old) if old.entry.state != state && state == ServerState::Draining => {
+                RegistryChange::Draining
+            }
+            Some(_) => RegistryChange::Updated,
+        };
+        self.servers.insert(id, listed);
+        Some(change)
+    }
+
+    /// Takes note that an entry is gone.
+    pub fn remove(&mut self, id: &str) -> Option<RegistryChange> {
+        self.servers.remove(id).map(|_| RegistryChange::Removed)
+    }
+
+    /// Compares with a complete list; returns the names that are gone.
+    ///
+    /// After an outage of the store, entries that lapsed meanwhile are kept for a short time, in
+    /// which the backend servers that live register again.
+    pub fn retain_listed(
+        &mut self,
+        now: Timestamp,
+        listed: &[ServerName],
+        after_outage: bool,
+    ) -> Vec<ServerName> {
+        let mut gone = Vec::new();
+        for (id, server) in &mut self.servers {
+            if listed.contains(id) {
+                server.missing_until = None;
+                continue;
+            }
+            if after_outage && server.entry.state == ServerState::Ready {
+                server.missing_until.get_or_insert(now + LAPSE_GRACE);
+                continue;
+            }
+            gone.push(id.clone());
+        }
+        for id in &gone {
+            self.servers.remove(id);
+        }
+        gone
+    }
+
+    /// Drops entries that did not come back in time; returns their names.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<ServerName> {
+        let mut gone = Vec::new();
+        for (id, server) in &self.servers {
+            if server.missing_until.is_some_and(|until| until <= now) {
+                gone.push(id.clone());
+            }
+        }
+        for id in &gone {
+            self.servers.remove(id);
+        }
+        gone
+    }
+
+    /// Returns the entry of a backend server.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<&ServerEntry> {
+        self.servers.get(id).map(|listed| &listed.entry)
+    }
+
+    /// Backend servers of a service that take new requests.
+    pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a ServerEntry> {
+        self.servers
+            .values()
+            .map(|listed| &listed.entry)
+            .filter(move |entry| &*entry.service == service && entry.state == ServerState::Ready)
+    }
+
+    /// Number of registered backend servers.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Says whether no backend server is registered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/verbenahinge-core/src/gateway/retry_window.rs
@@ -0,0 +1,62 @@
+//! Bounds the retries of a service over a sliding window.
+//!
+//! Load pattern: every backend server of a service fails part of its requests, or callers repeat
+//! at once; without a bound the retries of all VMs together would double the load.
+
+use std::collections::VecDeque;
+
+use super::Bounds;
+use crate::Timestamp;
+
+/// Part of the allowance that a VM uses, as the counts of the VMs do not line up exactly.
+const SAFETY: f64 = 0.7;
+
+/// Requests and retries of one service as one VM sees them.
+#[derive(Clone, Debug)]
+pub struct RetryWindow {
+    bounds: Bounds,
+    requests: VecDeque<Timestamp>,
+    retries: VecDeque<Timestamp>,
+}
+
+impl RetryWindow {
+    /// Creates an empty window.
+    #[must_use]
+    pub const fn new(bounds: Bounds) -> Self {
+        Self {
+            bounds,
+            requests: VecDeque::new(),
+            retries: VecDeque::new(),
+        }
+    }
+
+    /// Takes note of a request of a caller.
+    pub fn note_request(&mut self, now: Timestamp) {
+        self.expire(now);
+        self.requests.push_back(now);
+    }
+
+    /// Pays for a retry if the share of this VM allows it.
+    pub fn spend(&mut self, now: Timestamp, vms: usize) -> bool {
+        self.expire(now);
+        let vms = f64::from(u32::try_from(vms.max(1)).unwrap_or(u32::MAX));
+        let requests = f64::from(u32::try_from(self.requests.len()).unwrap_or(u32::MAX));
+        let allowed =
+            SAFETY * (self.bounds.retry_ratio * requests + self.bounds.retry_slack / vms);
+        let spent = f64::from(u32::try_from(self.retries.len()).unwrap_or(u32::MAX));
+        if spent + 1.0 > allowed {
+            return false;
+        }
+        self.retries.push_back(now);
+        true
+    }
+
+    fn expire(&mut self, now: Timestamp) {
+        let since = now.saturating_sub(self.bounds.retry_window);
+        for times in [&mut self.requests, &mut self.retries] {
+            while times.front().is_some_and(|&time| time < since) {
+                times.pop_front();
+            }
+        }
+    }
+}
--- a/crates/verbenahinge-core/src/lib.rs
+++ b/crates/verbenahinge-core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod declaration;
 pub mod digest;
 pub mod event;
+pub mod gateway;
 pub mod hash;
 pub mod ids;
 pub mod liveness;
--- a/crates/verbenahinge-http/src/lib.rs
+++ b/crates/verbenahinge-http/src/lib.rs
@@ -17,10 +17,12 @@
 
 mod answer;
 mod body;
+mod connect;
 mod headers;
 mod server;
 
 pub use self::answer::{HttpResponse, empty, json, text};
 pub use self::body::{BodyError, read_body, read_json};
+pub use self::connect::connect;
 pub use self::headers::header_text;
 pub use self::server::{HttpRequest, Server};
--- a/crates/verbenahinge/src/cli.rs
+++ b/crates/verbenahinge/src/cli.rs
@@ -10,6 +10,7 @@
 mod declare;
 mod emulate;
 mod error;
+mod gateway;
 mod inspect;
 mod load;
 mod remote;
@@ -40,6 +41,8 @@
 enum Command {
     #[strum(message = "serve callers on this VM")]
     Serve,
+    #[strum(message = "serve callers on a VM of a prepared platform")]
+    Gateway,
     #[strum(message = "check a declaration file without a connection")]
     Check,
     #[strum(message = "show what a declaration file would change")]
@@ -97,6 +100,7 @@
         .map_err(|_| CliError::Usage(format!("unknown command {name:?}; see --help")))?;
     match command {
         Command::Serve => serve::run(rest),
+        Command::Gateway => gateway::run(rest),
         Command::Check => declare::check(rest),
         Command::Diff => declare::diff(rest),
         Command::Apply => declare::apply(rest),
--- /dev/null
+++ b/crates/verbenahinge/src/cli/gateway.rs
@@ -0,0 +1,59 @@
+//! `verbenahinge gateway`.
+
+use std::path::PathBuf;
+
+use getopts::Options;
+use verbenahinge_platform::NODE_FILE_VARIABLE;
+
+use super::error::CliError;
+use super::{EXIT_OK, environment, parse};
+use crate::gateway;
+use crate::log_writer::LogWriter;
+
+pub(super) fn run(args: &[String]) -> Result<u8, CliError> {
+    let mut options = Options::new();
+    options
+        .optopt(
+            "",
+            "node-file",
+            &format!("settings file of the VM [{NODE_FILE_VARIABLE}]"),
+            "PATH",
+        )
+        .optopt(
+            "",
+            "log-level",
+            "off, error, warn, info, debug or trace [VERBENAHINGE_LOG_LEVEL, default info]",
+            "LEVEL",
+        )
+        .optflag("", "check", "check the settings file and exit");
+    let Some(matches) = parse(&mut options, args, "gateway [OPTIONS]")? else {
+        return Ok(EXIT_OK);
+    };
+    let env = environment();
+    let path = matches
+        .opt_str("node-file")
+        .or_else(|| env.get(NODE_FILE_VARIABLE).cloned())
+        .map(PathBuf::from)
+        .ok_or_else(|| {
+            CliError::Usage(format!("--node-file: missing; set it or {NODE_FILE_VARIABLE}"))
+        })?;
+    let level = matches
+        .opt_str("log-level")
+        .or_else(|| env.get("VERBENAHINGE_LOG_LEVEL").cloned())
+        .unwrap_or_else(|| "info".to_owned());
+    let level = level
+        .parse()
+        .map_err(|_| CliError::Usage(format!("--log-level: malformed: {level}")))?;
+    let settings = gateway::read_settings(&path)
+        .map_err(|problems| CliError::Usage(problems.join("\nverbenahinge: ")))?;
+    if matches.opt_present("check") {
+        println!("{}: VM {} is well set up", path.display(), settings.name);
+        return Ok(EXIT_OK);
+    }
+    LogWriter::start(level);
+    actix_rt::System::new()
+        .block_on(gateway::serve(settings, path))
+        .map_err(|error| CliError::Failed(error.to_string()))?;
+    log::logger().flush();
+    Ok(EXIT_OK)
+}
--- a/crates/verbenahinge/src/event_log.rs
+++ b/crates/verbenahinge/src/event_log.rs
@@ -19,12 +19,22 @@
     Drained = 102,
     /// A part of the process failed and is started again.
     TaskRestarted = 103,
+    /// Changed settings are in use.
+    Reloaded = 104,
+    /// Changed settings cannot be used; the earlier ones stay.
+    ReloadFailed = 105,
+    /// Log lines were dropped because they could not be written in time.
+    LogLinesDropped = 106,
+    /// A connection could not be accepted.
+    AcceptFailed = 107,
     /// A version of the declaration came into force.
     ConfigInForce = 200,
     /// A patch was accepted.
     PatchAccepted = 201,
     /// A patch was rejected.
     PatchRejected = 202,
+    /// A configuration cannot be read; the version in force stays.
+    ConfigUnreadable = 203,
     /// The platform does not answer.
     PlatformUnavailable = 300,
     /// The platform answers again.
@@ -33,16 +43,30 @@
     ServerEjected = 400,
     /// A backend server takes requests again.
     ServerReadmitted = 401,
+    /// The registry's entry of a backend server changed.
+    ServerListed = 402,
+    /// The registry's entry of a backend server cannot be read.
+    ServerUnreadable = 403,
+    /// A backend server crashed while it ran a request.
+    ServerCrashed = 404,
     /// A request was refused.
     RequestRefused = 500,
     /// A request crashed backend servers and is not run again.
     RequestQuarantined = 501,
+    /// A request got its final answer, or its caller left.
+    RequestEnded = 510,
+    /// An attempt to have a request served failed.
+    AttemptFailed = 511,
+    /// A request was not taken in.
+    RequestTurnedAway = 512,
     /// A peer link broke.
     PeerLost = 600,
     /// A peer link stands.
     PeerLinked = 601,
     /// A peer did not show the right key.
     PeerRejected = 602,
+    /// A datagram of a peer cannot be read.
+    DigestUnreadable = 603,
 }
 
 impl LogEvent {
@@ -59,6 +83,13 @@
             Self::TaskRestarted | Self::PeerRejected => log::Level::Error,
             Self::PatchRejected
             | Self::PlatformUnavailable
+            | Self::ReloadFailed
+            | Self::LogLinesDropped
+            | Self::AcceptFailed
+            | Self::ConfigUnreadable
+            | Self::ServerUnreadable
+            | Self::ServerCrashed
+            | Self::DigestUnreadable
             | Self::ServerEjected
             | Self::RequestQuarantined
             | Self::PeerLost => log::Level::Warn,
--- /dev/null
+++ b/crates/verbenahinge/src/gateway.rs
@@ -0,0 +1,243 @@
+//! The gateway: forwards HTTP requests to backend servers that register themselves.
+//!
+//! This is the product on a prepared platform. Routes and client accounts come from the operator
+//! through the platform's store, and `verbenahinge-platform` speaks the platform's language; all
+//! decisions are in `verbenahinge_core::gateway`. `docs/design/platform.md` has the whole.
+
+mod answer;
+mod attempt;
+mod connections;
+mod control;
+mod event_splitter;
+mod flight;
+mod front;
+mod metrics;
+mod peer_message;
+mod peers;
+mod relay;
+mod shutdown;
+mod watch;
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use verbenahinge_core::gateway::GatewayState;
+use verbenahinge_core::{Fingerprint, ServerName, Timestamp};
+use verbenahinge_platform::node_file::VmSettings;
+
+use self::connections::Connections;
+use self::metrics::GatewayMetrics;
+use self::peers::Peers;
+use crate::clock::Clock;
+use crate::event_log::LogEvent;
+use crate::supervisor::supervise;
+
+/// Time between two rounds that drop what has become too old.
+const TICK: Duration = Duration::from_millis(250);
+
+/// Time between two looks at the settings file, which may change without a signal.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Time after a broken connection at which a crashed server refuses new ones.
+const CRASH_CHECK_DELAY: Duration = Duration::from_millis(60);
+
+/// Everything that the parts of a gateway share.
+pub(crate) struct Gateway {
+    pub(crate) settings: RefCell<VmSettings>,
+    settings_path: PathBuf,
+    pub(crate) clock: Clock,
+    pub(crate) state: RefCell<GatewayState>,
+    pub(crate) connections: Rc<Connections>,
+    pub(crate) metrics: GatewayMetrics,
+    pub(crate) peers: Peers,
+    /// Configuration in force as the operator wrote it, for VMs that cannot read the store.
+    pub(crate) routing_bytes: RefCell<Bytes>,
+    pub(crate) is_draining: Cell<bool>,
+    pub(crate) requests_in_flight: Cell<usize>,
+    pub(crate) closing: Notify,
+    next_call: Cell<u64>,
+}
+
+impl Gateway {
+    /// Time since the process started.
+    pub(crate) fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    fn new_call_id(&self) -> u64 {
+        let id = self.next_call.get() + 1;
+        self.next_call.set(id);
+        id
+    }
+
+    /// Finds out whether a server whose connection broke has crashed.
+    ///
+    /// A server that crashed refuses connections; one that only lost a connection accepts them.
+    pub(crate) fn check_crash(self: &Rc<Self>, server: ServerName, fingerprint: Fingerprint) {
+        let gateway = Rc::clone(self);
+        actix_rt::spawn(async move {
+            actix_rt::time::sleep(CRASH_CHECK_DELAY).await;
+            let address = {
+                let state = gateway.state.borrow();
+                state.registry().get(&server).map(|entry| entry.address)
+            };
+            let Some(address) = address else {
+                return;
+            };
+            if let Ok(lease) = gateway.connections.open(&server, address).await {
+                lease.give_back(None, false);
+                return;
+            }
+            let now = gateway.now();
+            let mut state = gateway.state.borrow_mut();
+            if state.note_crash(now, &server, fingerprint) {
+                LogEvent::ServerCrashed.log(&[
+                    ("server", &server),
+                    ("fingerprint", &format!("{fingerprint:016x}")),
+                    ("quarantined", &state.is_quarantined(fingerprint)),
+                ]);
+            }
+        });
+    }
+}
+
+/// Reads the settings of the VM.
+///
+/// # Errors
+///
+/// Returns every problem with the file.
+pub(crate) fn read_settings(path: &std::path::Path) -> Result<VmSettings, Vec<String>> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| vec![format!("{}: {error}", path.display())])?;
+    VmSettings::parse(&text).map_err(|problems| {
+        let named = |problem: String| format!("{}: {problem}", path.display());
+        problems.into_iter().map(named).collect()
+    })
+}
+
+/// Serves until the process is told to end.
+///
+/// # Errors
+///
+/// Returns why a listener could not be opened.
+pub(crate) async fn serve(settings: VmSettings, settings_path: PathBuf) -> io::Result<()> {
+    let listener = bind(settings.listen).await?;
+    let ready_listener = bind(settings.ready_listen).await?;
+    let control_listener = match settings.control_listen {
+        Some(address) => Some(bind(address).await?),
+        None => None,
+    };
+    let vm = rand::random();
+    let state = GatewayState::new(vm, settings.availability_zone.clone(), settings.bounds);
+    let peers = Peers::bind(&settings).await?;
+    LogEvent::Started.log(&[
+        ("vm", &format!("{vm:016x}")),
+        ("listen", &settings.listen),
+        ("operator_listen", &settings.ready_listen),
+        ("name", &settings.name),
+        ("store", &settings.store),
+    ]);
+    let gateway = Rc::new(Gateway {
+        settings: RefCell::new(settings),
+        settings_path,
+        clock: Clock::new(),
+        state: RefCell::new(state),
+        connections: Rc::default(),
+        metrics: GatewayMetrics::new(),
+        peers,
+        routing_bytes: RefCell::default(),
+        is_draining: Cell::new(false),
+        requests_in_flight: Cell::new(0),
+        closing: Notify::new(),
+        next_call: Cell::new(0),
+    });
+    start(&gateway, "config", watch::watch_config);
+    start(&gateway, "registry", watch::watch_registry);
+    start(&gateway, "membership", watch::announce);
+    start(&gateway, "digests_in", peers::receive);
+    start(&gateway, "digests_out", peers::send);
+    start(&gateway, "expiry", expire);
+    start(&gateway, "settings", watch_settings);
+    let listener = Rc::new(listener);
+    start(&gateway, "callers", move |gateway| {
+        front::run(gateway, Rc::clone(&listener))
+    });
+    let ready_listener = Rc::new(ready_listener);
+    start(&gateway, "ready", move |gateway| {
+        control::run(gateway, Rc::clone(&ready_listener))
+    });
+    if let Some(listener) = control_listener.map(Rc::new) {
+        start(&gateway, "control", move |gateway| {
+            control::run(gateway, Rc::clone(&listener))
+        });
+    }
+    shutdown::wait(&gateway).await;
+    Ok(())
+}
+
+async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| io::Error::new(error.kind(), format!("{address}: {error}")))
+}
+
+fn start<F, T>(gateway: &Rc<Gateway>, name: &'static str, task: F)
+where
+    F: Fn(Rc<Gateway>) -> T + 'static,
+    T: Future<Output = ()> + 'static,
+{
+    let gateway = Rc::clone(gateway);
+    supervise(name, move || task(Rc::clone(&gateway)));
+}
+
+async fn expire(gateway: Rc<Gateway>) {
+    loop {
+        actix_rt::time::sleep(TICK).await;
+        let now = gateway.now();
+        let gone = gateway.state.borrow_mut().tick(now);
+        for server in gone {
+            LogEvent::ServerListed.log(&[("server", &server), ("change", &"lapsed")]);
+        }
+        let state = gateway.state.borrow();
+        gateway
+            .connections
+            .expire(|server| state.registry().get(server).is_some());
+    }
+}
+
+/// Takes over changed settings at a signal, or when the file is found changed.
+async fn watch_settings(gateway: Rc<Gateway>) {
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut hangup = match signal(SignalKind::hangup()) {
+        Ok(hangup) => hangup,
+        Err(error) => {
+            log::error!("the hang-up signal cannot be watched: {error}");
+            return std::future::pending().await;
+        }
+    };
+    loop {
+        let cause = tokio::select! {
+            _ = hangup.recv() => "signal",
+            () = actix_rt::time::sleep(SETTINGS_INTERVAL) => "interval",
+        };
+        match read_settings(&gateway.settings_path) {
+            Ok(settings) => {
+                if *gateway.settings.borrow() != settings || cause == "signal" {
+                    LogEvent::Reloaded.log(&[("cause", &cause), ("bounds", &format!("{:?}", settings.bounds))]);
+                    gateway.state.borrow_mut().set_bounds(settings.bounds);
+                    gateway.settings.replace(settings);
+                }
+            }
+            Err(problems) => {
+                LogEvent::ReloadFailed.log(&[("cause", &cause), ("problems", &problems.join("; "))]);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/verbenahinge/src/gateway/control.rs
@@ -0,0 +1,75 @@
+//! What other programs ask of a VM: whether it takes callers, its metrics, its configuration.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use verbenahinge_platform::READY_PATH;
+
+use super::Gateway;
+use crate::event_log::LogEvent;
+
+/// Path at which other VMs read the configuration in force.
+pub(super) const ROUTING_PATH: &str = "/gateway/routing";
+
+/// Time for which a connection may stay idle.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Time between two tries after an accept failed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts connections of other programs.
+pub(super) async fn run(gateway: Rc<Gateway>, listener: Rc<TcpListener>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                actix_rt::spawn(serve_connection(Rc::clone(&gateway), stream));
+            }
+            Err(error) => {
+                LogEvent::AcceptFailed.log(&[("cause", &error)]);
+                actix_rt::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream) {
+    let service = service_fn(|request| {
+        let answer = answer(&gateway, &request);
+        async move { Ok::<_, Infallible>(answer) }
+    });
+    let ended = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(error) = ended {
+        log::debug!("control connection ended: {error}");
+    }
+}
+
+fn answer(gateway: &Gateway, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let (status, body) = match request.uri().path() {
+        READY_PATH if is_ready(gateway) => (StatusCode::OK, Bytes::new()),
+        READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+        "/metrics" => (StatusCode::OK, gateway.metrics.text().into()),
+        ROUTING_PATH => (StatusCode::OK, gateway.routing_bytes.borrow().clone()),
+        _ => (StatusCode::NOT_FOUND, Bytes::new()),
+    };
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
+
+/// Says whether the VM takes new callers: it could serve them, and it is not about to end.
+fn is_ready(gateway: &Gateway) -> bool {
+    gateway.state.borrow().is_serving() && !gateway.is_draining.get()
+}
--- /dev/null
+++ b/crates/verbenahinge/src/gateway/metrics.rs
@@ -0,0 +1,111 @@
+//! Counters and latency histograms of the gateway.
+
+use std::time::Duration;
+
+use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder};
+
+const LATENCY_BUCKETS_S: [f64; 11] = [
+    0.01, 0.03, 0.06, 0.1, 0.15, 0.3, 0.6, 1.0, 2.0, 4.0, 8.0,
+];
+
+/// Counters and latency histograms of the gateway.
+pub(crate) struct GatewayMetrics {
+    registry: Registry,
+    families: Option<Families>,
+}
+
+struct Families {
+    first: HistogramVec,
+    total: HistogramVec,
+    ended: IntCounterVec,
+    turned_away: IntCounterVec,
+}
+
+impl Families {
+    fn new(registry: &Registry) -> prometheus::Result<Self> {
+        let histogram = |name: &str, help: &str, label: &str| {
+            let opts = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_S.to_vec());
+            let family = HistogramVec::new(opts, &[label])?;
+            registry.register(Box::new(family.clone()))?;
+            Ok::<_, prometheus::Error>(family)
+        };
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let family = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(family.clone()))?;
+            Ok::<_, prometheus::Error>(family)
+        };
+        Ok(Self {
+            first: histogram(
+                "verbenahinge_gateway_first_seconds",
+                "Arrival to first event or whole answer, by route.",
+                "route",
+            )?,
+            total: histogram(
+                "verbenahinge_gateway_total_seconds",
+                "Arrival to end of the answer, by client account.",
+                "account",
+            )?,
+            ended: counter(
+                "verbenahinge_gateway_ended_total",
+                "Requests by route and outcome.",
+                &["route", "outcome"],
+            )?,
+            turned_away: counter(
+                "verbenahinge_gateway_turned_away_total",
+                "Requests that were not taken in, by status.",
+                &["status"],
+            )?,
+        })
+    }
+}
+
+impl GatewayMetrics {
+    /// Creates empty metrics.
+    pub(crate) fn new() -> Self {
+        let registry = Registry::new();
+        let families = match Families::new(&registry) {
+            Ok(families) => Some(families),
+            Err(error) => {
+                log::error!("metrics are not kept: {error}");
+                None
+            }
+        };
+        Self { registry, families }
+    }
+
+    /// Counts the end of a request.
+    pub(crate) fn note_end(
+        &self,
+        route: &str,
+        account: &str,
+        outcome: &str,
+        first: Duration,
+        total: Duration,
+    ) {
+        let Some(families) = &self.families else {
+            return;
+        };
+        families.first.with_label_values(&[route]).observe(first.as_secs_f64());
+        families.total.with_label_values(&[account]).observe(total.as_secs_f64());
+        families.ended.with_label_values(&[route, outcome]).inc();
+    }
+
+    /// Counts a request that was not taken in.
+    pub(crate) fn note_turned_away(&self, status: u16) {
+        if let Some(families) = &self.families {
+            let status = status.to_string();
+            families.turned_away.with_label_values(&[&status]).inc();
+        }
+    }
+
+    /// Formats all metrics for a scraper.
+    pub(crate) fn text(&self) -> String {
+        match TextEncoder::new().encode_to_string(&self.registry.gather()) {
+            Ok(text) => text,
+            Err(error) => {
+                log::warn!("metrics could not be formatted: {error}");
+                String::new()
+            }
+        }
+    }
+}
