fix(gateway): a shutdown waits for whole streams, not only for their heads

Ruled out: the library's graceful shutdown (the connection was open until the process ended). Change: the count is held by the request's flight until its last byte.

--- a/crates/verbenahinge/src/gateway/flight.rs
+++ b/crates/verbenahinge/src/gateway/flight.rs
@@ -22,6 +22,28 @@
 /// Time kept back from the time limit for the final answer.
 pub(crate) const ANSWER_MARGIN: Duration = Duration::from_millis(20);
 
+/// Counts a request for as long as its answer is not complete, so that a shutdown waits for it.
+pub(crate) struct InService {
+    gateway: Rc<Gateway>,
+}
+
+impl InService {
+    pub(crate) fn new(gateway: &Rc<Gateway>) -> Self {
+        let count = &gateway.requests_in_flight;
+        count.set(count.get() + 1);
+        Self {
+            gateway: Rc::clone(gateway),
+        }
+    }
+}
+
+impl Drop for InService {
+    fn drop(&mut self) {
+        let count = &self.gateway.requests_in_flight;
+        count.set(count.get().saturating_sub(1));
+    }
+}
+
 /// One request on its way.
 pub(crate) struct Flight {
     pub(crate) gateway: Rc<Gateway>,
@@ -32,6 +54,7 @@
     verdict: Verdict,
     first_event_at: Option<Timestamp>,
     is_finished: bool,
+    _in_service: InService,
 }
 
 /// What follows from a failed attempt.
@@ -43,9 +66,9 @@
 }
 
 impl Flight {
-    pub(crate) fn new(gateway: Rc<Gateway>, call: Call, request: CallerRequest) -> Self {
+    pub(crate) fn new(in_service: InService, call: Call, request: CallerRequest) -> Self {
         Self {
-            gateway,
+            gateway: Rc::clone(&in_service.gateway),
             call,
             request,
             tried: Vec::new(),
@@ -53,6 +76,7 @@
             verdict: Verdict::NotRun,
             first_event_at: None,
             is_finished: false,
+            _in_service: in_service,
         }
     }
 
--- a/crates/verbenahinge/src/gateway/front.rs
+++ b/crates/verbenahinge/src/gateway/front.rs
@@ -24,7 +24,7 @@
 use super::Gateway;
 use super::answer::{CallerAnswer, announce_close, own_answer};
 use super::attempt::CallerRequest;
-use super::flight::Flight;
+use super::flight::{Flight, InService};
 use crate::event_log::LogEvent;
 
 /// Bounds that hold until a configuration is known.
@@ -93,27 +93,9 @@
     }
 }
 
-/// Counts a request for as long as it is being served.
-struct InService(Rc<Gateway>);
-
-impl InService {
-    fn new(gateway: &Rc<Gateway>) -> Self {
-        let count = &gateway.requests_in_flight;
-        count.set(count.get() + 1);
-        Self(Rc::clone(gateway))
-    }
-}
-
-impl Drop for InService {
-    fn drop(&mut self) {
-        let count = &self.0.requests_in_flight;
-        count.set(count.get().saturating_sub(1));
-    }
-}
-
 async fn handle(gateway: Rc<Gateway>, request: Request<Incoming>) -> CallerAnswer {
-    let _in_service = InService::new(&gateway);
-    let mut answer = answer(&gateway, request).await;
+    let in_service = InService::new(&gateway);
+    let mut answer = answer(&gateway, request, in_service).await;
     if gateway.is_draining.get() {
         announce_close(&mut answer);
     }
@@ -153,7 +135,11 @@
     }
 }
 
-async fn answer(gateway: &Rc<Gateway>, request: Request<Incoming>) -> CallerAnswer {
+async fn answer(
+    gateway: &Rc<Gateway>,
+    request: Request<Incoming>,
+    in_service: InService,
+) -> CallerAnswer {
     let arrived = gateway.now();
     let (parts, body) = request.into_parts();
     let caller = head::decode_caller(&parts.headers);
@@ -215,7 +201,7 @@
         body,
         last_event: caller.last_event,
     };
-    let flight = Flight::new(Rc::clone(gateway), call, request);
+    let flight = Flight::new(in_service, call, request);
     match kind {
         RouteKind::Stream => flight.serve_stream().await,
         RouteKind::Idempotent | RouteKind::AtMostOnce => flight.serve_plain().await,
