feat(core): wait for a first token from prompts that are still being read

A virtual queue of sent tokens drained at the believed reading speed and was empty long before the engine was. Ruled out: slots (under 20 of 64 in use), lost digests. Change: digests carry the prompts without a first token by priority; what is left of them is the wait. The request log shows expected_ms and read_tokens.

--- a/crates/verbenahinge-core/src/gateway.rs
+++ b/crates/verbenahinge-core/src/gateway.rs
@@ -18,7 +18,7 @@
 mod state;
 
 pub use self::admission::{RETRY_AFTER_MIN, retry_after};
-pub use self::backend::{Backend, LoadReport, PeerLoad};
+pub use self::backend::{Backend, LoadReport, PeerLoad, Reading};
 pub use self::bounds::Bounds;
 pub use self::call::{Call, CallId};
 pub use self::crash_guard::CrashGuard;
--- a/crates/verbenahinge-core/src/gateway/backend.rs
+++ b/crates/verbenahinge-core/src/gateway/backend.rs
@@ -57,19 +57,45 @@
     pub slots: u32,
 }
 
+/// Prompts that an engine reads or has yet to read.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Reading {
+    /// Number of prompts.
+    pub prompts: u32,
+    /// Cost of reading them, in tokens.
+    pub tokens: u32,
+}
+
+impl Reading {
+    /// Cost of what is left to be read, in tokens.
+    ///
+    /// Prompts are read one after the other, so that the first one is taken to be half read.
+    fn left(self) -> f64 {
+        if self.prompts == 0 {
+            return 0.0;
+        }
+        f64::from(self.tokens) * (1.0 - 0.5 / f64::from(self.prompts))
+    }
+
+    const fn add(&mut self, other: Self) {
+        self.prompts += other.prompts;
+        self.tokens = self.tokens.saturating_add(other.tokens);
+    }
+}
+
 /// Load that another VM puts on a server.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct PeerLoad {
     /// Requests in flight.
     pub running: u32,
-    /// Requests in flight without a first token.
-    pub reading: u32,
     /// Streams in flight that long reads of others would make late.
     pub interactive: u32,
     /// Tokens that its requests hold in memory.
     pub memory_tokens: u32,
-    /// Tokens that it ever sent to be read, by priority.
-    pub sent_tokens: BTreeMap<u8, u32>,
+    /// Prompts that have not given a first token yet, by priority.
+    pub reading: BTreeMap<u8, Reading>,
+    /// Load that the server told it last, if that was since the digest before.
+    pub report: Option<LoadReport>,
 }
 
 #[derive(Clone, Debug)]
@@ -81,6 +107,8 @@
 #[derive(Clone, Copy, Debug)]
 struct InFlight {
     sent: Timestamp,
+    priority: u8,
+    read_tokens: u32,
     read_ahead: f64,
     memory_tokens: u32,
     reading: bool,
@@ -91,13 +119,11 @@
 #[derive(Clone, Debug)]
 pub struct Backend {
     in_flight: BTreeMap<CallId, InFlight>,
-    sent_tokens: BTreeMap<u8, u32>,
     peers: BTreeMap<VmId, PeerState>,
-    backlog: BTreeMap<u8, f64>,
-    backlog_at: Timestamp,
     read_rate: f64,
     cached: BTreeMap<PartId, Timestamp>,
     report: Option<(Timestamp, LoadReport)>,
+    own_report: Option<LoadReport>,
     error_share: f64,
     failures: u32,
     ejections: u32,
@@ -117,13 +143,11 @@
     pub const fn new() -> Self {
         Self {
             in_flight: BTreeMap::new(),
-            sent_tokens: BTreeMap::new(),
             peers: BTreeMap::new(),
-            backlog: BTreeMap::new(),
-            backlog_at: Duration::ZERO,
             read_rate: READ_RATE_START,
             cached: BTreeMap::new(),
             report: None,
+            own_report: None,
             error_share: 0.0,
             failures: 0,
             ejections: 0,
@@ -135,7 +159,6 @@
     /// Forgets what does not outlive the server's process; requests in flight end by themselves.
     pub fn restart(&mut self) {
         self.cached.clear();
-        self.backlog.clear();
         self.report = None;
         self.error_share = 0.0;
         self.failures = 0;
@@ -160,13 +183,8 @@
 
     /// Takes note of a request that is sent to the server.
     pub fn note_sent(&mut self, now: Timestamp, call: &Call, read_cost: f64, interactive: bool) {
-        self.drain_backlog(now);
         let priority = call.priority();
-        let tokens = to_tokens(read_cost);
-        let ahead = self.backlog_until(priority) + read_cost;
-        *self.backlog.entry(priority).or_default() += read_cost;
-        let sent = self.sent_tokens.entry(priority).or_default();
-        *sent = sent.wrapping_add(tokens);
+        let read_ahead = self.read_ahead(priority) + read_cost;
         let mut memory_tokens = 0;
         if let Some(prompt) = &call.prompt {
             memory_tokens = prompt.prompt_tokens + prompt.max_output_tokens / 2;
@@ -177,7 +195,9 @@
         }
         let request = InFlight {
             sent: now,
-            read_ahead: ahead,
+            priority,
+            read_tokens: to_tokens(read_cost),
+            read_ahead,
             memory_tokens,
             reading: true,
             interactive,
@@ -227,9 +247,6 @@
     /// Takes note that a request has left the server.
     pub fn note_ended(&mut self, call: CallId) {
         self.in_flight.remove(&call);
-        if self.in_flight.is_empty() && self.peers_total(|load| load.reading) == 0 {
-            self.backlog.clear();
-        }
     }
 
     /// Takes note of an answer of the server, good or not.
@@ -278,20 +295,13 @@
     /// Takes in the load that the server tells.
     pub fn note_report(&mut self, now: Timestamp, report: LoadReport) {
         self.report = Some((now, report));
+        self.own_report = Some(report);
     }
 
     /// Takes in the load that another VM puts on the server.
     pub fn note_peer(&mut self, now: Timestamp, vm: VmId, load: PeerLoad) {
-        self.drain_backlog(now);
-        if let Some(old) = self.peers.get(&vm) {
-            for (&priority, &sent) in &load.sent_tokens {
-                let before = old.load.sent_tokens.get(&priority).copied().unwrap_or(0);
-                let news = sent.wrapping_sub(before);
-                // A counter that went back belongs to a process that started again.
-                if news < u32::MAX / 2 {
-                    *self.backlog.entry(priority).or_default() += f64::from(news);
-                }
-            }
+        if let Some(report) = load.report {
+            self.report = Some((now, report));
         }
         self.peers.insert(vm, PeerState { load, seen: now });
     }
@@ -305,33 +315,36 @@
         self.peers.values().map(|peer| field(&peer.load)).sum()
     }
 
-    fn drain_backlog(&mut self, now: Timestamp) {
-        let elapsed_ms = now.saturating_sub(self.backlog_at).as_secs_f64() * 1000.0;
-        self.backlog_at = now;
-        let mut left = elapsed_ms * self.read_rate;
-        for tokens in self.backlog.values_mut() {
-            let read = tokens.min(left);
-            *tokens -= read;
-            left -= read;
+    fn own_reading(&self) -> BTreeMap<u8, Reading> {
+        let mut reading: BTreeMap<u8, Reading> = BTreeMap::new();
+        for request in self.in_flight.values().filter(|request| request.reading) {
+            reading.entry(request.priority).or_default().add(Reading {
+                prompts: 1,
+                tokens: request.read_tokens,
+            });
         }
-        self.backlog.retain(|_, tokens| *tokens > 0.0);
-    }
-
-    fn backlog_until(&self, priority: u8) -> f64 {
-        self.backlog.range(..=priority).map(|(_, tokens)| tokens).sum()
+        reading
     }
 
     /// Tokens that are read before those of a new request of the given priority.
     #[must_use]
-    pub fn read_ahead(&self, now: Timestamp, priority: u8) -> f64 {
-        let elapsed_ms = now.saturating_sub(self.backlog_at).as_secs_f64() * 1000.0;
-        (self.backlog_until(priority) - elapsed_ms * self.read_rate).max(0.0)
+    pub fn read_ahead(&self, priority: u8) -> f64 {
+        let mut total = Reading::default();
+        for (_, &reading) in self.own_reading().range(..=priority) {
+            total.add(reading);
+        }
+        for peer in self.peers.values() {
+            for (_, &reading) in peer.load.reading.range(..=priority) {
+                total.add(reading);
+            }
+        }
+        total.left()
     }
 
     /// Tokens that wait to be read, of all priorities.
     #[must_use]
-    pub fn backlog_tokens(&self, now: Timestamp) -> f64 {
-        self.read_ahead(now, u8::MAX)
+    pub fn backlog_tokens(&self) -> f64 {
+        self.read_ahead(u8::MAX)
     }
 
     /// Reading speed of the engine, in tokens per ms.
@@ -376,14 +389,13 @@
     /// Load that this VM puts on the server.
     #[must_use]
     pub fn own_load(&self) -> PeerLoad {
-        let reading = self.in_flight.values().filter(|call| call.reading);
         let interactive = self.in_flight.values().filter(|call| call.interactive);
         PeerLoad {
             running: count(self.in_flight.len()),
-            reading: count(reading.count()),
             interactive: count(interactive.count()),
             memory_tokens: self.in_flight.values().map(|call| call.memory_tokens).sum(),
-            sent_tokens: self.sent_tokens.clone(),
+            reading: self.own_reading(),
+            report: self.own_report,
         }
     }
 }
--- a/crates/verbenahinge-core/src/gateway/placement.rs
+++ b/crates/verbenahinge-core/src/gateway/placement.rs
@@ -250,13 +250,13 @@
         let backend = candidate.backend;
         let read_cost = self.read_cost(call, backend, is_home);
         let rate = backend.read_rate();
-        let wait_ms = (backend.read_ahead(self.now, call.priority()) + read_cost) / rate;
+        let wait_ms = (backend.read_ahead(call.priority()) + read_cost) / rate;
         let target_ms = call.route.target.as_secs_f64() * 1000.0;
         let waited = wait_ms / target_ms.max(1.0);
         let mut cost = ((waited - WAIT_FREE) / (1.0 - WAIT_FREE)).max(0.0);
         cost += READ_TIME_COST * (read_cost / rate) / target_ms.max(1.0);
         if interactive {
-            let pressed = backend.backlog_tokens(self.now) / QUIET_READ_TOKENS;
+            let pressed = backend.backlog_tokens() / QUIET_READ_TOKENS;
             cost += LATE_COST * pressed.min(1.0);
         } else {
             let harmed = f64::from(backend.interactive());
--- a/crates/verbenahinge-core/src/gateway/state.rs
+++ b/crates/verbenahinge-core/src/gateway/state.rs
@@ -373,7 +373,7 @@
         let mut servers = Vec::new();
         for (id, backend) in &self.backends {
             let load = backend.own_load();
-            if load.running == 0 && load.sent_tokens.is_empty() {
+            if load.running == 0 && load.report.is_none() {
                 continue;
             }
             servers.push(ServerDigest {
--- a/crates/verbenahinge/src/gateway/flight.rs
+++ b/crates/verbenahinge/src/gateway/flight.rs
@@ -53,6 +53,7 @@
     sends: u32,
     verdict: Verdict,
     first_event_at: Option<Timestamp>,
+    expected: Option<(Duration, f64)>,
     is_finished: bool,
     _in_service: InService,
 }
@@ -75,6 +76,7 @@
             sends: 0,
             verdict: Verdict::NotRun,
             first_event_at: None,
+            expected: None,
             is_finished: false,
             _in_service: in_service,
         }
@@ -95,6 +97,7 @@
     /// Takes note that an attempt begins.
     pub(crate) fn begin(&mut self, choice: &Choice) -> InFlight {
         self.sends += 1;
+        self.expected = Some((choice.expected_wait, choice.read_cost));
         self.tried.push(choice.server.clone());
         InFlight::new(&self.gateway, &self.call, choice)
     }
@@ -325,6 +328,7 @@
         let first = self
             .first_event_at
             .map_or(total, |at| at.saturating_sub(self.call.arrived));
+        let (expected_wait, read_cost) = self.expected.unwrap_or_default();
         let account = self.call.account.as_ref().map_or("-", |account| &*account.name);
         LogEvent::RequestEnded.log(&[
             ("request_id", &self.id()),
@@ -337,6 +341,8 @@
             ("verdict", &self.verdict),
             ("first_ms", &first.as_millis()),
             ("total_ms", &total.as_millis()),
+            ("expected_ms", &expected_wait.as_millis()),
+            ("read_tokens", &format!("{read_cost:.0}")),
             ("config", &self.gateway.state.borrow().config_version()),
             ("detail", detail),
         ]);
--- a/crates/verbenahinge/src/gateway/peer_message.rs
+++ b/crates/verbenahinge/src/gateway/peer_message.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr};
 
-use verbenahinge_core::gateway::{PeerDigest, PeerLoad, ServerDigest};
+use verbenahinge_core::gateway::{LoadReport, PeerDigest, PeerLoad, Reading, ServerDigest};
 
 /// One datagram.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -35,17 +35,26 @@
     pub(super) server: u64,
     #[prost(uint32, tag = "2")]
     pub(super) running: u32,
-    #[prost(uint32, tag = "3")]
-    pub(super) reading: u32,
     #[prost(uint32, tag = "4")]
     pub(super) interactive: u32,
     #[prost(uint32, tag = "5")]
     pub(super) memory_tokens: u32,
-    /// Priorities, beside the tokens that were ever sent with them.
-    #[prost(uint32, repeated, tag = "6")]
-    pub(super) priorities: Vec<u32>,
+    #[prost(message, repeated, tag = "6")]
+    pub(super) reading: Vec<ReadingMessage>,
+    /// Running and waiting requests and slots, as the server told them last.
     #[prost(uint32, repeated, tag = "7")]
-    pub(super) sent_tokens: Vec<u32>,
+    pub(super) report: Vec<u32>,
+}
+
+/// Prompts of one priority that have not given a first token yet.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub(super) struct ReadingMessage {
+    #[prost(uint32, tag = "1")]
+    pub(super) priority: u32,
+    #[prost(uint32, tag = "2")]
+    pub(super) prompts: u32,
+    #[prost(uint32, tag = "3")]
+    pub(super) tokens: u32,
 }
 
 /// Crashes that one request was part of.
@@ -104,33 +113,55 @@
 
 fn encode_server(digest: ServerDigest) -> ServerMessage {
     let load = digest.load;
+    let mut reading = Vec::new();
+    for (priority, class) in load.reading {
+        reading.push(ReadingMessage {
+            priority: u32::from(priority),
+            prompts: class.prompts,
+            tokens: class.tokens,
+        });
+    }
+    let report = load.report.map_or_else(Vec::new, |report| {
+        vec![report.running, report.waiting, report.slots]
+    });
     ServerMessage {
         server: digest.server,
         running: load.running,
-        reading: load.reading,
         interactive: load.interactive,
         memory_tokens: load.memory_tokens,
-        priorities: load.sent_tokens.keys().map(|&priority| u32::from(priority)).collect(),
-        sent_tokens: load.sent_tokens.into_values().collect(),
+        reading,
+        report,
     }
 }
 
 fn decode_server(message: ServerMessage) -> ServerDigest {
-    let mut sent_tokens = BTreeMap::new();
-    for (priority, tokens) in message.priorities.into_iter().zip(message.sent_tokens) {
-        let Ok(priority) = u8::try_from(priority) else {
+    let mut reading = BTreeMap::new();
+    for class in message.reading {
+        let Ok(priority) = u8::try_from(class.priority) else {
             continue;
         };
-        sent_tokens.insert(priority, tokens);
+        let prompts = Reading {
+            prompts: class.prompts,
+            tokens: class.tokens,
+        };
+        reading.insert(priority, prompts);
     }
+    let report = match message.report.as_slice() {
+        &[running, waiting, slots] => Some(LoadReport {
+            running,
+            waiting,
+            slots,
+        }),
+        _ => None,
+    };
     ServerDigest {
         server: message.server,
         load: PeerLoad {
             running: message.running,
-            reading: message.reading,
             interactive: message.interactive,
             memory_tokens: message.memory_tokens,
-            sent_tokens,
+            reading,
+            report,
         },
     }
 }
