feat(core): keep prompts at the engine that has read them

Ruled out: eviction (three times the shared parts fit into the engines). Change: reading time costs 2.5 requests a second, the wait is free up to 0.6 of the target, the first choice counts as having 0.9 of the shared tokens.

--- a/crates/verbenahinge-core/src/gateway/placement.rs
+++ b/crates/verbenahinge-core/src/gateway/placement.rs
@@ -25,11 +25,11 @@
 /// Cost of a stream that becomes late, in requests.
 const LATE_COST: f64 = 0.8;
 
-/// Cost of the reading time of an engine, for each target's worth of it.
-const READ_TIME_COST: f64 = 0.6;
+/// Cost of a second of an engine's reading time, which others then wait for, in requests.
+const READ_SECOND_COST: f64 = 2.5;
 
 /// Part of the shared tokens that the first choice of a prompt is expected to have cached.
-const HOME_CACHED: f64 = 0.7;
+const HOME_CACHED: f64 = 0.9;
 
 /// Cost of leaving the engines that are meant for the kind of request.
 const LANE_COST: f64 = 0.5;
@@ -41,7 +41,7 @@
 const FULL_COST: f64 = 4.0;
 
 /// Part of the target that the wait may take before it costs.
-const WAIT_FREE: f64 = 0.4;
+const WAIT_FREE: f64 = 0.6;
 
 /// Part of the target within which the first event of a new request has to be expected.
 const ADMIT_WAIT: f64 = 0.9;
@@ -254,7 +254,7 @@
         let target_ms = call.route.target.as_secs_f64() * 1000.0;
         let waited = wait_ms / target_ms.max(1.0);
         let mut cost = ((waited - WAIT_FREE) / (1.0 - WAIT_FREE)).max(0.0);
-        cost += READ_TIME_COST * (read_cost / rate) / target_ms.max(1.0);
+        cost += READ_SECOND_COST * read_cost / rate / 1000.0;
         if interactive {
             let pressed = backend.backlog_tokens() / QUIET_READ_TOKENS;
             cost += LATE_COST * pressed.min(1.0);
