--- a/crates/verbenahinge-core/src/gateway/placement.rs
+++ b/crates/verbenahinge-core/src/gateway/placement.rs
@@ -26,7 +26,7 @@
 const LATE_COST: f64 = 0.8;
 
 /// Cost of a second of an engine's reading time, which others then wait for, in requests.
-const READ_SECOND_COST: f64 = 2.5;
+const READ_SECOND_COST: f64 = 5.0;
 
 /// Part of the shared tokens that the first choice of a prompt is expected to have cached.
 const HOME_CACHED: f64 = 0.9;
