--- a/crates/verbenahinge-core/src/gateway.rs
+++ b/crates/verbenahinge-core/src/gateway.rs
@@ -27,7 +27,7 @@
 pub use self::registry::{Registry, RegistryChange, ServerEntry, ServerState};
 pub use self::retry_window::RetryWindow;
 pub use self::routing::{
-    Account, CallerLimits, EngineLimits, Route, RouteKind, RouteName, Routing, Service, ServiceName,
-    Share,
+    Account, CallerLimits, EngineLimits, Route, RouteKind, RouteName, Routing, Service,
+    ServiceName, Share,
 };
 pub use self::state::{GatewayState, PeerDigest, ServerDigest};
--- a/crates/verbenahinge-core/src/gateway/crash_guard.rs
+++ b/crates/verbenahinge-core/src/gateway/crash_guard.rs
@@ -44,7 +44,8 @@
     /// Records that other VMs should know.
     #[must_use]
     pub fn news(&self, now: Timestamp) -> Vec<(Fingerprint, Vec<CrashId>)> {
-        self.quarantine.latest(now.saturating_sub(NEWS_SPAN), NEWS_LIMIT)
+        self.quarantine
+            .latest(now.saturating_sub(NEWS_SPAN), NEWS_LIMIT)
     }
 
     /// Forgets old records.
--- a/crates/verbenahinge-core/src/gateway/placement.rs
+++ b/crates/verbenahinge-core/src/gateway/placement.rs
@@ -161,9 +161,11 @@
     fn plain_cost(&self, call: &Call, candidate: &Candidate) -> f64 {
         let backend = candidate.backend;
         let known = f64::from(backend.running());
-        let told = backend.reported(self.now, REPORT_AGE).map_or(0.0, |report| {
-            f64::from(report.running.saturating_sub(1) + report.waiting)
-        });
+        let told = backend
+            .reported(self.now, REPORT_AGE)
+            .map_or(0.0, |report| {
+                f64::from(report.running.saturating_sub(1) + report.waiting)
+            });
         let slots = f64::from(candidate.entry.slots.max(1));
         let load = known.max(told);
         // Beyond its slots a server queues, which costs more than another zone.
@@ -171,7 +173,11 @@
         let is_near = *candidate.entry.availability_zone == *self.availability_zone;
         let zone = if is_near { 0.0 } else { ZONE_COST_REQUESTS };
         let errors = ERROR_COST_REQUESTS * backend.error_share();
-        let cold = if candidate.entry.warm_up.is_zero() { 0.0 } else { 1.0 };
+        let cold = if candidate.entry.warm_up.is_zero() {
+            0.0
+        } else {
+            1.0
+        };
         let spread = mix64(call.id, hash64(candidate.entry.id.as_bytes())) % 1000;
         let tie = f64::from(u32::try_from(spread).unwrap_or(0)) / 10_000.0;
         load + queued * 4.0 + zone + errors + cold + tie
@@ -191,11 +197,14 @@
         for candidate in candidates {
             let in_lane = lane.contains(&candidate.entry.id) == interactive;
             let is_home = home.as_ref() == Some(&candidate.entry.id);
-            let (mut cost, choice) = self.engine_cost(call, candidate, engine, interactive, is_home);
+            let (mut cost, choice) =
+                self.engine_cost(call, candidate, engine, interactive, is_home);
             if !in_lane {
                 cost += LANE_COST;
             }
-            least_wait = Some(least_wait.map_or(choice.expected_wait, |least| least.min(choice.expected_wait)));
+            least_wait = Some(least_wait.map_or(choice.expected_wait, |least| {
+                least.min(choice.expected_wait)
+            }));
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, choice));
             }
--- a/crates/verbenahinge-core/src/gateway/retry_window.rs
+++ b/crates/verbenahinge-core/src/gateway/retry_window.rs
@@ -41,8 +41,7 @@
         self.expire(now);
         let vms = f64::from(u32::try_from(vms.max(1)).unwrap_or(u32::MAX));
         let requests = f64::from(u32::try_from(self.requests.len()).unwrap_or(u32::MAX));
-        let allowed =
-            SAFETY * (self.bounds.retry_ratio * requests + self.bounds.retry_slack / vms);
+        let allowed = SAFETY * (self.bounds.retry_ratio * requests + self.bounds.retry_slack / vms);
         let spent = f64::from(u32::try_from(self.retries.len()).unwrap_or(u32::MAX));
         if spent + 1.0 > allowed {
             return false;
--- a/crates/verbenahinge-core/src/gateway/routing.rs
+++ b/crates/verbenahinge-core/src/gateway/routing.rs
@@ -75,7 +75,11 @@
     /// Picks the service for a request; equal seeds get equal services.
     #[must_use]
     pub fn pick_service(&self, seed: u64) -> Option<&ServiceName> {
-        let total: u64 = self.shares.iter().map(|share| u64::from(share.weight)).sum();
+        let total: u64 = self
+            .shares
+            .iter()
+            .map(|share| u64::from(share.weight))
+            .sum();
         let mut left = mix64(seed, 0x7368_6172_65) % total.max(1);
         for share in &self.shares {
             let weight = u64::from(share.weight);
--- a/crates/verbenahinge-core/src/gateway/state.rs
+++ b/crates/verbenahinge-core/src/gateway/state.rs
@@ -10,7 +10,9 @@
     Registry, RegistryChange, RetryWindow, Routing, ServerEntry, ServiceName,
 };
 use crate::hash::hash64;
-use crate::{ConfigVersion, CrashId, FailureKind, Fingerprint, ServerName, Timestamp, VmId, ZoneName};
+use crate::{
+    ConfigVersion, CrashId, FailureKind, Fingerprint, ServerName, Timestamp, VmId, ZoneName,
+};
 
 /// Time after which a VM that sent no digest does not count any more.
 const VM_TTL: Duration = Duration::from_secs(3);
@@ -253,7 +255,11 @@
     /// Adapts the number of engines that are kept for interactive streams to the demand.
     fn size_lane(&mut self, now: Timestamp, call: &Call) {
         let own = self.interactive_tokens_s * decay(now.saturating_sub(self.interactive_at));
-        let told: u32 = self.peers.values().map(|peer| peer.interactive_tokens_s).sum();
+        let told: u32 = self
+            .peers
+            .values()
+            .map(|peer| peer.interactive_tokens_s)
+            .sum();
         let tokens_s = own + f64::from(told);
         let mut rate = 0.0;
         let mut streams = 0;
@@ -351,7 +357,10 @@
 
     /// Takes note that a server crashed while it ran a request; says whether that is news.
     pub fn note_crash(&mut self, now: Timestamp, server: &str, fingerprint: Fingerprint) -> bool {
-        let started = self.registry.get(server).and_then(|entry| entry.started_unix_ms);
+        let started = self
+            .registry
+            .get(server)
+            .and_then(|entry| entry.started_unix_ms);
         let crash = crate::hash::mix64(hash64(server.as_bytes()), started.unwrap_or(0));
         self.crash_guard.note_crash(now, fingerprint, crash)
     }
--- a/crates/verbenahinge-emulator/src/lib.rs
+++ b/crates/verbenahinge-emulator/src/lib.rs
@@ -13,4 +13,6 @@
 
 pub mod engine;
 pub mod platform;
+pub mod registry_store;
+pub mod scripted_server;
 pub mod service;
--- a/crates/verbenahinge-testkit/src/lib.rs
+++ b/crates/verbenahinge-testkit/src/lib.rs
@@ -15,10 +15,16 @@
 
 mod client;
 mod fleet;
+mod gateway_caller;
+mod gateway_fleet;
 mod options;
 mod process;
+mod proxy;
 
 pub use self::client::{Answer, Client};
 pub use self::fleet::{Fleet, Vm};
+pub use self::gateway_caller::{CallerConnection, GatewayAnswer, GatewayRequest};
+pub use self::gateway_fleet::{GatewayFleet, GatewayOptions};
 pub use self::options::FleetOptions;
 pub use self::process::{Process, free_address};
+pub use self::proxy::{Harm, Proxy};
--- a/crates/verbenahinge-testkit/src/process.rs
+++ b/crates/verbenahinge-testkit/src/process.rs
@@ -1,8 +1,9 @@
 //! One process of a test.
 
+use std::fs::OpenOptions;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::ops::Range;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -22,6 +23,7 @@
     args: Vec<String>,
     bin: String,
     address: SocketAddr,
+    log: Option<PathBuf>,
 }
 
 /// Ports below the range from which outgoing connections get theirs.
@@ -60,10 +62,35 @@
     pub fn start(bin: impl AsRef<Path>, args: &[String], address: SocketAddr) -> Self {
         let bin = bin.as_ref().to_string_lossy().into_owned();
         let process = Self {
-            child: spawn(&bin, args),
+            child: spawn(&bin, args, None),
             args: args.to_vec(),
             bin,
             address,
+            log: None,
+        };
+        process.wait_listening();
+        process
+    }
+
+    /// Starts the binary with its standard output in a file, and waits until it listens.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process cannot be started or does not listen.
+    #[must_use]
+    pub fn start_logged(
+        bin: impl AsRef<Path>,
+        args: &[String],
+        address: SocketAddr,
+        log: &Path,
+    ) -> Self {
+        let bin = bin.as_ref().to_string_lossy().into_owned();
+        let process = Self {
+            child: spawn(&bin, args, Some(log)),
+            args: args.to_vec(),
+            bin,
+            address,
+            log: Some(log.to_path_buf()),
         };
         process.wait_listening();
         process
@@ -96,6 +123,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Tells the process that its settings have changed.
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Freezes the process.
     pub fn freeze(&self) {
         self.signal(Signal::STOP);
@@ -119,7 +151,7 @@
     /// Starts the process again with the same arguments.
     pub fn restart(&mut self) {
         self.kill();
-        self.child = spawn(&self.bin, &self.args);
+        self.child = spawn(&self.bin, &self.args, self.log.as_deref());
         self.wait_listening();
     }
 
@@ -140,11 +172,16 @@
     }
 }
 
-fn spawn(bin: &str, args: &[String]) -> Child {
+fn spawn(bin: &str, args: &[String], log: Option<&Path>) -> Child {
+    let output = log.map_or_else(Stdio::null, |path| {
+        let mut options = OpenOptions::new();
+        let file = options.create(true).append(true).open(path);
+        file.expect("a log file").into()
+    });
     Command::new(bin)
         .args(args)
         .stdin(Stdio::null())
-        .stdout(Stdio::null())
+        .stdout(output)
         .stderr(Stdio::inherit())
         .spawn()
         .expect("the binary starts")
--- a/crates/verbenahinge/src/cli/emulate.rs
+++ b/crates/verbenahinge/src/cli/emulate.rs
@@ -7,6 +7,8 @@
 use tokio::net::TcpListener;
 use verbenahinge_emulator::engine::{self, EngineOptions};
 use verbenahinge_emulator::platform::{self, ListedState, ListedVm};
+use verbenahinge_emulator::registry_store;
+use verbenahinge_emulator::scripted_server::{self, ScriptedOptions, ServerFault, ServerFaults};
 use verbenahinge_emulator::service::{self, ServiceFaults};
 
 use super::error::CliError;
@@ -18,6 +20,8 @@
     Platform,
     Engine,
     Service,
+    Store,
+    Server,
 }
 
 pub(super) fn run(args: &[String]) -> Result<u8, CliError> {
@@ -39,18 +43,28 @@
             "engine: end the process at this text",
             "TEXT",
         )
-        .optopt("", "delay-ms", "service: time that a call takes [0]", "MS");
-    let brief = "emulate platform|engine|service --listen IP:PORT [OPTIONS]";
+        .optopt("", "delay-ms", "service: time that a call takes [0]", "MS")
+        .optopt("", "id", "server: its name in the registry", "NAME")
+        .optopt(
+            "",
+            "work-ms",
+            "server: time for a request or an event [5]",
+            "MS",
+        )
+        .optopt("", "events", "server: events of a stream [5]", "N")
+        .optopt("", "fault", "server: what it does wrong [none]", "FAULT");
+    let brief = "emulate platform|engine|service|store|server --listen IP:PORT [OPTIONS]";
     let Some(matches) = parse(&mut options, args, brief)? else {
         return Ok(EXIT_OK);
     };
-    let stand_in: StandIn = one_argument(&matches, "stand-in")?
-        .parse()
-        .map_err(|_| CliError::Usage("expected platform, engine or service".to_owned()))?;
+    let stand_in: StandIn = one_argument(&matches, "stand-in")?.parse().map_err(|_| {
+        CliError::Usage("expected platform, engine, service, store or server".to_owned())
+    })?;
     let listen: SocketAddr = number(&matches, "listen", SocketAddr::from(([127, 0, 0, 1], 0)))?;
     let vms = list_vms(&matches)?;
     let engine_options = engine_options(&matches)?;
     let delay_ms = number(&matches, "delay-ms", 0)?;
+    let scripted = scripted_options(&matches)?;
     actix_rt::System::new().block_on(async {
         let listener = TcpListener::bind(listen)
             .await
@@ -65,6 +79,8 @@
                 };
                 service::run(listener, faults).await;
             }
+            StandIn::Store => registry_store::run(listener).await,
+            StandIn::Server => scripted_server::run(listener, scripted).await,
         }
         Ok(EXIT_OK)
     })
@@ -87,6 +103,19 @@
     })
 }
 
+fn scripted_options(matches: &Matches) -> Result<ScriptedOptions, CliError> {
+    Ok(ScriptedOptions {
+        id: matches.opt_str("id").unwrap_or_default(),
+        slots: number(matches, "slots", 8)?,
+        faults: ServerFaults {
+            fault: number(matches, "fault", ServerFault::None)?,
+            times: 0,
+            work_ms: number(matches, "work-ms", 5)?,
+            events: number(matches, "events", 5)?,
+        },
+    })
+}
+
 fn list_vms(matches: &Matches) -> Result<Vec<ListedVm>, CliError> {
     let text = matches.opt_str("vms").unwrap_or_default();
     let mut vms = Vec::new();
--- a/crates/verbenahinge/src/cli/gateway.rs
+++ b/crates/verbenahinge/src/cli/gateway.rs
@@ -35,7 +35,9 @@
         .or_else(|| env.get(NODE_FILE_VARIABLE).cloned())
         .map(PathBuf::from)
         .ok_or_else(|| {
-            CliError::Usage(format!("--node-file: missing; set it or {NODE_FILE_VARIABLE}"))
+            CliError::Usage(format!(
+                "--node-file: missing; set it or {NODE_FILE_VARIABLE}"
+            ))
         })?;
     let level = matches
         .opt_str("log-level")
--- a/crates/verbenahinge/src/gateway.rs
+++ b/crates/verbenahinge/src/gateway.rs
@@ -235,13 +235,17 @@
         match read_settings(&gateway.settings_path) {
             Ok(settings) => {
                 if *gateway.settings.borrow() != settings || cause == "signal" {
-                    LogEvent::Reloaded.log(&[("cause", &cause), ("bounds", &format!("{:?}", settings.bounds))]);
+                    LogEvent::Reloaded.log(&[
+                        ("cause", &cause),
+                        ("bounds", &format!("{:?}", settings.bounds)),
+                    ]);
                     gateway.state.borrow_mut().set_bounds(settings.bounds);
                     gateway.settings.replace(settings);
                 }
             }
             Err(problems) => {
-                LogEvent::ReloadFailed.log(&[("cause", &cause), ("problems", &problems.join("; "))]);
+                LogEvent::ReloadFailed
+                    .log(&[("cause", &cause), ("problems", &problems.join("; "))]);
             }
         }
     }
--- a/crates/verbenahinge/src/gateway/attempt.rs
+++ b/crates/verbenahinge/src/gateway/attempt.rs
@@ -179,7 +179,11 @@
         if belongs {
             return Ok(());
         }
-        log::debug!("an answer to {:?} came for {:?}", head.request_id, request.id);
+        log::debug!(
+            "an answer to {:?} came for {:?}",
+            head.request_id,
+            request.id
+        );
         Err(AttemptError::Failed(FailureKind::Malformed))
     }
 
--- a/crates/verbenahinge/src/gateway/flight.rs
+++ b/crates/verbenahinge/src/gateway/flight.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hyper::{Response, StatusCode};
 use http_body_util::Full;
+use hyper::{Response, StatusCode};
 use verbenahinge_core::gateway::{Call, Choice, NoChoice, RETRY_AFTER_MIN, retry_after};
 use verbenahinge_core::{FailureKind, ServerName, Timestamp, Verdict};
 use verbenahinge_platform::head;
@@ -135,7 +135,8 @@
             LogEvent::ServerEjected.log(&[("server", server), ("failure", &kind)]);
         }
         if kind == FailureKind::ConnectionLost {
-            self.gateway.check_crash(server.clone(), self.call.fingerprint);
+            self.gateway
+                .check_crash(server.clone(), self.call.fingerprint);
         }
         if self.may_retry() && self.until() > now {
             Next::Retry
@@ -230,7 +231,10 @@
         if status >= 500 {
             return Some(FailureKind::ServerError);
         }
-        self.gateway.state.borrow_mut().note_answer(now, server, true);
+        self.gateway
+            .state
+            .borrow_mut()
+            .note_answer(now, server, true);
         None
     }
 
@@ -329,7 +333,11 @@
             .first_event_at
             .map_or(total, |at| at.saturating_sub(self.call.arrived));
         let (expected_wait, read_cost) = self.expected.unwrap_or_default();
-        let account = self.call.account.as_ref().map_or("-", |account| &*account.name);
+        let account = self
+            .call
+            .account
+            .as_ref()
+            .map_or("-", |account| &*account.name);
         LogEvent::RequestEnded.log(&[
             ("request_id", &self.id()),
             ("outcome", &outcome),
--- a/crates/verbenahinge/src/gateway/front.rs
+++ b/crates/verbenahinge/src/gateway/front.rs
@@ -13,8 +13,8 @@
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Request, StatusCode, Uri};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
 use std::sync::Arc;
+use tokio::net::{TcpListener, TcpStream};
 use verbenahinge_core::gateway::{
     Account, Call, CallerLimits, RETRY_AFTER_MIN, Route, RouteKind, Routing, retry_after,
 };
@@ -69,7 +69,9 @@
     let limits = {
         let state = gateway.state.borrow();
         let routing = state.routing();
-        routing.and_then(|routing| routing.limits).unwrap_or(FIRST_LIMITS)
+        routing
+            .and_then(|routing| routing.limits)
+            .unwrap_or(FIRST_LIMITS)
     };
     let service = service_fn(|request| {
         let gateway = Rc::clone(&gateway);
@@ -254,7 +256,10 @@
 
 /// Identifies the content of a request: its path, its caller and its body.
 fn fingerprint(uri: &Uri, admitted: &Admitted, body: &Bytes) -> u64 {
-    let account = admitted.account.as_ref().map_or("", |account| &*account.name);
+    let account = admitted
+        .account
+        .as_ref()
+        .map_or("", |account| &*account.name);
     let target = uri.path_and_query().map_or("", |target| target.as_str());
     let caller = mix64(hash64(account.as_bytes()), hash64(target.as_bytes()));
     mix64(caller, hash64(body))
--- a/crates/verbenahinge/src/gateway/metrics.rs
+++ b/crates/verbenahinge/src/gateway/metrics.rs
@@ -4,9 +4,7 @@
 
 use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder};
 
-const LATENCY_BUCKETS_S: [f64; 11] = [
-    0.01, 0.03, 0.06, 0.1, 0.15, 0.3, 0.6, 1.0, 2.0, 4.0, 8.0,
-];
+const LATENCY_BUCKETS_S: [f64; 11] = [0.01, 0.03, 0.06, 0.1, 0.15, 0.3, 0.6, 1.0, 2.0, 4.0, 8.0];
 
 /// Counters and latency histograms of the gateway.
 pub(crate) struct GatewayMetrics {
@@ -85,8 +83,14 @@
         let Some(families) = &self.families else {
             return;
         };
-        families.first.with_label_values(&[route]).observe(first.as_secs_f64());
-        families.total.with_label_values(&[account]).observe(total.as_secs_f64());
+        families
+            .first
+            .with_label_values(&[route])
+            .observe(first.as_secs_f64());
+        families
+            .total
+            .with_label_values(&[account])
+            .observe(total.as_secs_f64());
         families.ended.with_label_values(&[route, outcome]).inc();
     }
 
--- a/crates/verbenahinge/src/gateway/peers.rs
+++ b/crates/verbenahinge/src/gateway/peers.rs
@@ -148,7 +148,9 @@
         let is_full = round.is_multiple_of(FULL_EVERY);
         let mut digest = gateway.state.borrow().digest(now);
         if !is_full {
-            digest.servers.retain(|server| last.get(&server.server) != Some(server));
+            digest
+                .servers
+                .retain(|server| last.get(&server.server) != Some(server));
             digest.crashes.clear();
         }
         for server in &digest.servers {
@@ -157,8 +159,18 @@
         if digest.servers.is_empty() && !is_full {
             continue;
         }
-        let members = if is_full { gateway.peers.named(round) } else { Vec::new() };
-        send_to_all(&gateway, PeerMessage::new(digest, members, false), now, round).await;
+        let members = if is_full {
+            gateway.peers.named(round)
+        } else {
+            Vec::new()
+        };
+        send_to_all(
+            &gateway,
+            PeerMessage::new(digest, members, false),
+            now,
+            round,
+        )
+        .await;
     }
 }
 
@@ -244,7 +256,9 @@
     match actix_rt::time::timeout(ASK_TIMEOUT, fetch(address)).await {
         Ok(Ok(bytes)) => match routing::decode(&bytes) {
             Ok(routing) => watch::adopt(gateway, routing, bytes, "peer"),
-            Err(error) => LogEvent::ConfigUnreadable.log(&[("source", &address), ("cause", &error)]),
+            Err(error) => {
+                LogEvent::ConfigUnreadable.log(&[("source", &address), ("cause", &error)])
+            }
         },
         Ok(Err(error)) => log::debug!("no configuration from {address}: {error}"),
         Err(_) => log::debug!("no configuration from {address} in time"),
@@ -265,7 +279,10 @@
         .header(hyper::header::HOST, address.to_string())
         .body(Full::new(Bytes::new()))
         .map_err(io::Error::other)?;
-    let answer = sender.send_request(request).await.map_err(io::Error::other)?;
+    let answer = sender
+        .send_request(request)
+        .await
+        .map_err(io::Error::other)?;
     let body = Limited::new(answer.into_body(), ROUTING_LIMIT_BYTES)
         .collect()
         .await
--- a/crates/verbenahinge/src/gateway/relay.rs
+++ b/crates/verbenahinge/src/gateway/relay.rs
@@ -98,7 +98,10 @@
         let left = until.saturating_sub(now).min(stall);
         match actix_rt::time::timeout(left, answer.body.frame()).await {
             Ok(Some(Ok(frame))) => {
-                gateway.state.borrow_mut().note_progress(gateway.now(), server);
+                gateway
+                    .state
+                    .borrow_mut()
+                    .note_progress(gateway.now(), server);
                 if let Ok(data) = frame.into_data() {
                     return Ok(Some(data));
                 }
@@ -149,13 +152,7 @@
     let stall = stall_of(flight);
     let first_stall = stall + choice.expected_wait.mul_f64(FIRST_EVENT_FACTOR);
     let until = flight.until();
-    let opening = gateway.open_answer(
-        &flight.call,
-        &flight.request,
-        server,
-        last_event,
-        until,
-    );
+    let opening = gateway.open_answer(&flight.call, &flight.request, server, last_event, until);
     tokio::pin!(opening);
     let answer = loop {
         match actix_rt::time::timeout(first_stall, &mut opening).await {
--- a/crates/verbenahinge/src/gateway/shutdown.rs
+++ b/crates/verbenahinge/src/gateway/shutdown.rs
@@ -41,7 +41,8 @@
         actix_rt::time::sleep(POLL).await;
     }
     actix_rt::time::sleep(LINGER).await;
-    LogEvent::Drained.log(&[("left", &gateway.requests_in_flight.get()),
+    LogEvent::Drained.log(&[
+        ("left", &gateway.requests_in_flight.get()),
         ("connections", &gateway.connections_open.get()),
     ]);
 }
--- a/crates/verbenahinge/src/gateway/watch.rs
+++ b/crates/verbenahinge/src/gateway/watch.rs
@@ -82,7 +82,11 @@
     loop {
         let result = match since {
             None => store.read_table(OPERATOR_TABLE).await,
-            Some(version) => store.watch_table(OPERATOR_TABLE, version, CONFIG_WAIT).await,
+            Some(version) => {
+                store
+                    .watch_table(OPERATOR_TABLE, version, CONFIG_WAIT)
+                    .await
+            }
         };
         match result {
             Ok(rows) => {
@@ -131,7 +135,11 @@
     loop {
         let result = match since {
             None => store.read_table(SERVER_TABLE).await,
-            Some(version) => store.watch_table(SERVER_TABLE, version, REGISTRY_WAIT).await,
+            Some(version) => {
+                store
+                    .watch_table(SERVER_TABLE, version, REGISTRY_WAIT)
+                    .await
+            }
         };
         match result {
             Ok(rows) => {
--- a/crates/verbenahinge/src/log_writer.rs
+++ b/crates/verbenahinge/src/log_writer.rs
@@ -122,7 +122,10 @@
         let mut written = output.write_all(&bytes);
         if dropped_lines > 0 {
             written = written.and_then(|()| {
-                writeln!(output, "event=106 name=log_lines_dropped lines={dropped_lines}")
+                writeln!(
+                    output,
+                    "event=106 name=log_lines_dropped lines={dropped_lines}"
+                )
             });
         }
         if written.and_then(|()| output.flush()).is_err() {
--- /dev/null
+++ b/crates/verbenahinge/tests/gateway_config.rs
@@ -0,0 +1,105 @@
+//! An accepted configuration is in force everywhere within seconds and never goes back.
+
+use verbenahinge_emulator::registry_store::StoreFaults;
+use verbenahinge_testkit::{GatewayFleet, GatewayOptions, GatewayRequest, Harm, Proxy};
+
+const BIN: &str = env!("CARGO_BIN_EXE_verbenahinge");
+const CONFIG: &str = include_str!("data/gateway.json");
+
+async fn start(vms: u8) -> GatewayFleet {
+    GatewayFleet::start(BIN, GatewayOptions::new(CONFIG).vms(vms)).await
+}
+
+fn version(number: u64) -> String {
+    CONFIG.replace("\"version\": 7", &format!("\"version\": {number}"))
+}
+
+fn without_second_account(number: u64) -> String {
+    version(number).replace("key-two", "key-other")
+}
+
+fn second_account(id: &str) -> GatewayRequest {
+    GatewayRequest::new(id, "/read/x").key("key-two")
+}
+
+#[actix_rt::test]
+async fn unknown_routes_and_keys() {
+    let fleet = start(1).await;
+    let status = async |request: GatewayRequest| fleet.call(0, &request).await.status;
+    assert_eq!(status(GatewayRequest::new("r1", "/nothing/x")).await, 404);
+    assert_eq!(status(GatewayRequest::new("r2", "/read")).await, 404);
+    assert_eq!(
+        status(GatewayRequest::new("r3", "/read/x").key("wrong")).await,
+        401
+    );
+    assert_eq!(
+        status(GatewayRequest::new("r4", "/open/x").key("wrong")).await,
+        200
+    );
+    assert_eq!(fleet.runs_of("r3").await.len(), 0);
+}
+
+#[actix_rt::test]
+async fn removed_keys_are_refused() {
+    let fleet = start(1).await;
+    assert_eq!(fleet.call(0, &second_account("r1")).await.status, 200);
+    fleet.write_config(&without_second_account(8)).await;
+    fleet.wait_status(0, &second_account("r2"), 401).await;
+}
+
+#[actix_rt::test]
+async fn older_versions_never_return() {
+    let fleet = start(1).await;
+    fleet.write_config(&without_second_account(9)).await;
+    fleet.wait_status(0, &second_account("r1"), 401).await;
+    fleet.write_config(&version(8)).await;
+    fleet.write_config("not a configuration").await;
+    fleet.wait_logged(0, "name=config_unreadable").await;
+    assert_eq!(fleet.call(0, &second_account("r2")).await.status, 401);
+}
+
+#[actix_rt::test]
+async fn refused_vms_learn_from_others() {
+    let mut fleet = start(2).await;
+    let proxy = Proxy::start(fleet.store_address()).await;
+    fleet.add_vm_with(proxy.address());
+    fleet.wait_ready(2).await;
+    proxy.set(Harm::Reset);
+    fleet.write_config(&without_second_account(8)).await;
+    for vm in 0..3 {
+        fleet.wait_status(vm, &second_account("r1"), 401).await;
+    }
+    fleet.wait_logged(2, "version=8 source=peer").await;
+}
+
+#[actix_rt::test]
+async fn lost_history_is_read_anew() {
+    let fleet = start(1).await;
+    let faults = StoreFaults {
+        history_from: u64::MAX,
+        ..StoreFaults::default()
+    };
+    fleet.store_faults(&faults).await;
+    fleet.write_config(&without_second_account(8)).await;
+    fleet.wait_status(0, &second_account("r1"), 401).await;
+}
+
+#[actix_rt::test]
+async fn vms_start_not_ready_in_an_outage() {
+    let mut fleet = start(1).await;
+    let down = StoreFaults {
+        is_down: true,
+        ..StoreFaults::default()
+    };
+    fleet.store_faults(&down).await;
+    assert_eq!(fleet.call(0, &second_account("r1")).await.status, 200);
+    fleet.vm_process(0).kill();
+    fleet.add_vm();
+    let answer = fleet.call(1, &second_account("r2")).await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.retry_after_s().is_some());
+    assert!(!fleet.is_ready(1).await);
+    fleet.store_faults(&StoreFaults::default()).await;
+    fleet.wait_ready(1).await;
+    assert_eq!(fleet.call(1, &second_account("r3")).await.status, 200);
+}
--- /dev/null
+++ b/crates/verbenahinge/tests/gateway_registry.rs
@@ -0,0 +1,136 @@
+//! Backend servers come and go as the registry says, and as their own traffic shows.
+
+use verbenahinge_core::gateway::ServerState;
+use verbenahinge_emulator::registry_store::StoreFaults;
+use verbenahinge_platform::store::SERVER_TABLE;
+use verbenahinge_testkit::{GatewayFleet, GatewayOptions, GatewayRequest};
+
+const BIN: &str = env!("CARGO_BIN_EXE_verbenahinge");
+const CONFIG: &str = include_str!("data/gateway.json");
+
+async fn start(servers: usize) -> GatewayFleet {
+    GatewayFleet::start(BIN, GatewayOptions::new(CONFIG).servers(servers)).await
+}
+
+/// Sends requests and returns how many each of two servers ran.
+async fn spread(fleet: &GatewayFleet, prefix: &str) -> [usize; 2] {
+    let before = [fleet.runs(0).await.len(), fleet.runs(1).await.len()];
+    for count in 0..8 {
+        let request = GatewayRequest::new(format!("{prefix}-{count}"), "/read/x");
+        assert_eq!(fleet.call(0, &request).await.status, 200);
+    }
+    let after = [fleet.runs(0).await.len(), fleet.runs(1).await.len()];
+    [after[0] - before[0], after[1] - before[1]]
+}
+
+#[actix_rt::test]
+async fn draining_servers_get_nothing_new() {
+    let fleet = start(2).await;
+    let mut entry = fleet.entry(0);
+    entry.state = ServerState::Draining;
+    fleet.register(&entry).await;
+    fleet.wait_logged(0, "change=draining").await;
+    assert_eq!(spread(&fleet, "a").await, [0, 8]);
+    entry.state = ServerState::Ready;
+    fleet.register(&entry).await;
+    fleet.wait_logged(0, "change=updated").await;
+    assert_ne!(spread(&fleet, "b").await[0], 0);
+}
+
+#[actix_rt::test]
+async fn removed_servers_get_nothing_new() {
+    let fleet = start(2).await;
+    fleet.unregister(1).await;
+    fleet.wait_logged(0, "change=removed").await;
+    assert_eq!(spread(&fleet, "a").await, [8, 0]);
+}
+
+#[actix_rt::test]
+async fn unreadable_entries_are_left_out() {
+    let fleet = start(2).await;
+    let broken: [(&str, &[u8]); 4] = [
+        ("no-json", b"\xff\x00"),
+        ("no-address", br#"{"service":"service","zone":"a","slots":8,"state":"ready"}"#),
+        ("odd-state", br#"{"service":"service","address":"127.0.0.1:9","zone":"a","slots":8,"state":"odd"}"#),
+        ("odd-slots", br#"{"service":"service","address":"127.0.0.1:9","zone":"a","slots":"8","state":"ready"}"#),
+    ];
+    for (id, value) in broken {
+        fleet.write_row(SERVER_TABLE, id, Some(value)).await;
+        fleet
+            .wait_logged(0, &format!("name=server_unreadable server={id}"))
+            .await;
+    }
+    let [first, second] = spread(&fleet, "a").await;
+    assert_eq!(first + second, 8);
+}
+
+#[actix_rt::test]
+async fn reused_addresses_run_nothing() {
+    let fleet = start(1).await;
+    let mut entry = fleet.entry(0);
+    entry.id = "gone".into();
+    fleet.register(&entry).await;
+    fleet.unregister(0).await;
+    fleet.wait_logged(0, "change=removed").await;
+    let answer = fleet.call(0, &GatewayRequest::new("r1", "/once/x")).await;
+    assert_eq!(answer.status, 503);
+    assert!(fleet.runs(0).await.is_empty());
+}
+
+#[actix_rt::test]
+async fn lapsed_entries_outlive_an_outage() {
+    let fleet = start(2).await;
+    let down = StoreFaults {
+        is_down: true,
+        ..StoreFaults::default()
+    };
+    fleet.store_faults(&down).await;
+    fleet.wait_logged(0, "name=platform_unavailable").await;
+    fleet.store_faults(&StoreFaults::default()).await;
+    // Both entries lapse with the outage; one server registers again.
+    fleet.unregister(0).await;
+    fleet.unregister(1).await;
+    fleet.wait_logged(0, "name=platform_available").await;
+    assert_eq!(
+        fleet
+            .call(0, &GatewayRequest::new("r1", "/read/x"))
+            .await
+            .status,
+        200
+    );
+    fleet.register(&fleet.entry(0)).await;
+    fleet.wait_logged(0, "server=server-1 change=lapsed").await;
+    assert_eq!(spread(&fleet, "a").await, [8, 0]);
+}
+
+#[actix_rt::test]
+async fn restarted_servers_are_used_again() {
+    let mut fleet = start(1).await;
+    assert_eq!(
+        fleet
+            .call(0, &GatewayRequest::new("r1", "/read/x"))
+            .await
+            .status,
+        200
+    );
+    fleet.server_process(0).kill();
+    assert_eq!(
+        fleet
+            .call(0, &GatewayRequest::new("r2", "/read/x"))
+            .await
+            .status,
+        503
+    );
+    fleet.server_process(0).restart();
+    let mut entry = fleet.entry(0);
+    entry.started_unix_ms = Some(2);
+    fleet.register(&entry).await;
+    fleet.wait_logged(0, "change=restarted").await;
+    assert_eq!(
+        fleet
+            .call(0, &GatewayRequest::new("r3", "/read/x"))
+            .await
+            .status,
+        200
+    );
+}
--- /dev/null
+++ b/crates/verbenahinge/tests/gateway_shutdown.rs
@@ -0,0 +1,90 @@
+//! A graceful shutdown cuts no request in flight and takes none that it would cut.
+
+use std::time::Duration;
+
+use verbenahinge_emulator::scripted_server::ServerFaults;
+use verbenahinge_testkit::{CallerConnection, GatewayFleet, GatewayOptions, GatewayRequest};
+
+const BIN: &str = env!("CARGO_BIN_EXE_verbenahinge");
+const CONFIG: &str = include_str!("data/gateway.json");
+
+async fn start(work_ms: u64, events: u64) -> GatewayFleet {
+    let options = GatewayOptions::new(CONFIG)
+        .servers(1)
+        .server_arg("--work-ms", &work_ms.to_string())
+        .server_arg("--events", &events.to_string());
+    GatewayFleet::start(BIN, options).await
+}
+
+#[actix_rt::test]
+async fn streams_in_flight_finish() {
+    let fleet = start(100, 35).await;
+    let request = GatewayRequest::new("s1", "/stream/x")
+        .deadline_ms(8000)
+        .prompt(1, 2);
+    let mut connection = CallerConnection::open(fleet.listen(0)).await.expect("a VM");
+    let reader = actix_rt::spawn(async move { connection.call(&request).await });
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    let mut fleet = fleet;
+    fleet.vm_process(0).terminate();
+    let answer = reader.await.expect("a task").expect("an answer");
+    assert!(answer.is_complete);
+    assert_eq!(answer.event_ids().len(), 35);
+}
+
+#[actix_rt::test]
+async fn late_requests_are_refused() {
+    let mut fleet = start(5, 5).await;
+    let mut connection = CallerConnection::open(fleet.listen(0)).await.expect("a VM");
+    let early = GatewayRequest::new("early", "/stream/x")
+        .deadline_ms(8000)
+        .prompt(1, 2);
+    fleet
+        .server_faults(
+            0,
+            &ServerFaults {
+                work_ms: 100,
+                events: 40,
+                ..ServerFaults::default()
+            },
+        )
+        .await;
+    let listen = fleet.listen(0);
+    let reader = actix_rt::spawn(async move { connection.call(&early).await });
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    fleet.vm_process(0).terminate();
+    fleet.wait_logged(0, "name=draining").await;
+    assert!(!fleet.is_ready(0).await);
+    actix_rt::time::sleep(Duration::from_millis(2900)).await;
+    // Callers that find no other VM still connect to this one.
+    let mut late = CallerConnection::open(listen)
+        .await
+        .expect("a VM that still listens");
+    let answer = late
+        .call(&GatewayRequest::new("late", "/read/x"))
+        .await
+        .expect("an answer");
+    assert_eq!((answer.status, answer.closes()), (503, true));
+    assert!(fleet.runs_of("late").await.is_empty());
+    let answer = reader.await.expect("a task").expect("an answer");
+    assert!(answer.is_complete);
+}
+
+#[actix_rt::test]
+async fn connections_close_announced() {
+    let mut fleet = start(5, 5).await;
+    let mut connection = CallerConnection::open(fleet.listen(0)).await.expect("a VM");
+    let first = connection
+        .call(&GatewayRequest::new("r1", "/read/x"))
+        .await
+        .expect("an answer");
+    assert!(!first.closes());
+    fleet.vm_process(0).terminate();
+    fleet.wait_logged(0, "name=draining").await;
+    let second = connection
+        .call(&GatewayRequest::new("r2", "/read/x"))
+        .await
+        .expect("an answer");
+    assert_eq!((second.status, second.closes()), (200, true));
+    fleet.wait_logged(0, "name=drained").await;
+}
