feat(gateway): three VMs watch the store and tell the others

Change: core::gateway::feed (copies of tables, who watches, deltas); digests carry the version of each copy and its age; small changes travel in a pushed datagram, larger ones are read with one call, from another VM if the store refuses. When copies grow old more VMs watch, up to all.

--- a/crates/verbenahinge-core/src/gateway/backend.rs
+++ b/crates/verbenahinge-core/src/gateway/backend.rs
@@ -306,6 +306,11 @@
         self.peers.insert(vm, PeerState { load, seen: now });
     }
 
+    /// Drops the load of a VM that has ended.
+    pub fn forget_peer(&mut self, vm: VmId) {
+        self.peers.remove(&vm);
+    }
+
     /// Drops the load of VMs that have fallen silent.
     pub fn expire_peers(&mut self, now: Timestamp) {
         self.peers.retain(|_, peer| peer.seen + PEER_TTL > now);
--- a/crates/verbenahinge-core/src/gateway/registry.rs
+++ b/crates/verbenahinge-core/src/gateway/registry.rs
@@ -104,32 +104,16 @@
         self.servers.remove(id).map(|_| RegistryChange::Removed)
     }
 
-    /// Compares with a complete list; returns the names that are gone.
+    /// Takes note that an entry is missing after an outage of the store.
     ///
-    /// After an outage of the store, entries that lapsed meanwhile are kept for a short time, in
-    /// which the backend servers that live register again.
-    pub fn retain_listed(
-        &mut self,
-        now: Timestamp,
-        listed: &[ServerName],
-        after_outage: bool,
-    ) -> Vec<ServerName> {
-        let mut gone = Vec::new();
-        for (id, server) in &mut self.servers {
-            if listed.contains(id) {
-                server.missing_until = None;
-                continue;
-            }
-            if after_outage && server.entry.state == ServerState::Ready {
-                server.missing_until.get_or_insert(now + LAPSE_GRACE);
-                continue;
-            }
-            gone.push(id.clone());
+    /// It is kept for a short time, in which backend servers that live register again.
+    pub fn lapse(&mut self, now: Timestamp, id: &str) -> Option<RegistryChange> {
+        let server = self.servers.get_mut(id)?;
+        if server.entry.state == ServerState::Draining {
+            return self.remove(id);
         }
-        for id in &gone {
-            self.servers.remove(id);
-        }
-        gone
+        server.missing_until = Some(now + LAPSE_GRACE);
+        None
     }
 
     /// Drops entries that did not come back in time; returns their names.
--- a/crates/verbenahinge-core/src/gateway/state.rs
+++ b/crates/verbenahinge-core/src/gateway/state.rs
@@ -15,7 +15,7 @@
 };
 
 /// Time after which a VM that sent no digest does not count any more.
-const VM_TTL: Duration = Duration::from_secs(3);
+const VM_TTL: Duration = Duration::from_secs(5);
 
 /// Window over which the demand for interactive streams is measured.
 const DEMAND_WINDOW: Duration = Duration::from_secs(2);
@@ -43,8 +43,6 @@
 pub struct PeerDigest {
     /// Process that sends it.
     pub vm: VmId,
-    /// Version of the configuration that it has in force.
-    pub config_version: ConfigVersion,
     /// Tokens a second that interactive streams of its callers bring.
     pub interactive_tokens_s: u32,
     /// Load that it puts on servers.
@@ -160,19 +158,18 @@
         change
     }
 
-    /// Takes note that the list of backend servers is complete; returns those that are gone.
-    pub fn complete_registry(
-        &mut self,
-        now: Timestamp,
-        listed: &[ServerName],
-        after_outage: bool,
-    ) -> Vec<ServerName> {
-        self.registry_known = true;
-        let gone = self.registry.retain_listed(now, listed, after_outage);
-        for id in &gone {
+    /// Takes note that the entry of a backend server is missing after an outage of the store.
+    pub fn lapse_server(&mut self, now: Timestamp, id: &str) -> Option<RegistryChange> {
+        let change = self.registry.lapse(now, id);
+        if change.is_some() {
             self.forget(id);
         }
-        gone
+        change
+    }
+
+    /// Takes note that all backend servers are known.
+    pub const fn complete_registry(&mut self) {
+        self.registry_known = true;
     }
 
     fn forget(&mut self, id: &str) {
@@ -390,13 +387,29 @@
                 load,
             });
         }
+        PeerDigest {
+            servers,
+            crashes: self.crash_guard.news(now),
+            ..self.own_digest(now)
+        }
+    }
+
+    /// What identifies this VM to the others, without its load.
+    #[must_use]
+    pub fn own_digest(&self, now: Timestamp) -> PeerDigest {
         let own = self.interactive_tokens_s * decay(now.saturating_sub(self.interactive_at));
         PeerDigest {
             vm: self.vm,
-            config_version: self.config_version(),
             interactive_tokens_s: to_u32(own),
-            servers,
-            crashes: self.crash_guard.news(now),
+            ..PeerDigest::default()
+        }
+    }
+
+    /// Drops what a VM that has ended told.
+    pub fn forget_peer(&mut self, vm: VmId) {
+        self.peers.remove(&vm);
+        for backend in self.backends.values_mut() {
+            backend.forget_peer(vm);
         }
     }
 
--- a/crates/verbenahinge/src/gateway.rs
+++ b/crates/verbenahinge/src/gateway.rs
@@ -25,16 +25,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
-use verbenahinge_core::gateway::GatewayState;
+use verbenahinge_core::gateway::{Feed, GatewayState};
 use verbenahinge_core::{Fingerprint, ServerName, Timestamp};
 use verbenahinge_platform::node_file::VmSettings;
 
 use self::connections::Connections;
 use self::metrics::GatewayMetrics;
 use self::peers::Peers;
+use self::watch::Feeds;
 use crate::clock::Clock;
 use crate::event_log::LogEvent;
 use crate::supervisor::supervise;
@@ -57,8 +57,7 @@
     pub(crate) connections: Rc<Connections>,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) peers: Peers,
-    /// Configuration in force as the operator wrote it, for VMs that cannot read the store.
-    pub(crate) routing_bytes: RefCell<Bytes>,
+    pub(crate) feeds: Feeds,
     pub(crate) is_draining: Cell<bool>,
     pub(crate) requests_in_flight: Cell<usize>,
     /// Whether new requests are refused, because the process may end before they do.
@@ -155,7 +154,7 @@
         connections: Rc::default(),
         metrics: GatewayMetrics::new(),
         peers,
-        routing_bytes: RefCell::default(),
+        feeds: Feeds::new(),
         is_draining: Cell::new(false),
         requests_in_flight: Cell::new(0),
         is_closing: Cell::new(false),
@@ -163,9 +162,13 @@
         connections_open: Cell::new(0),
         next_call: Cell::new(0),
     });
-    start(&gateway, "config", watch::watch_config);
-    start(&gateway, "registry", watch::watch_registry);
-    start(&gateway, "membership", watch::announce);
+    start(&gateway, "config", |gateway| {
+        watch::follow(gateway, Feed::Config)
+    });
+    start(&gateway, "registry", |gateway| {
+        watch::follow(gateway, Feed::Servers)
+    });
+    start(&gateway, "membership", watch::find_others);
     start(&gateway, "digests_in", peers::receive);
     start(&gateway, "digests_out", peers::send);
     start(&gateway, "expiry", expire);
--- a/crates/verbenahinge/src/gateway/control.rs
+++ b/crates/verbenahinge/src/gateway/control.rs
@@ -14,11 +14,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use verbenahinge_platform::READY_PATH;
 
-use super::Gateway;
+use super::{Gateway, peers};
 use crate::event_log::LogEvent;
 
-/// Path at which other VMs read the configuration in force.
-pub(super) const ROUTING_PATH: &str = "/gateway/routing";
+/// Path below which other VMs read copies of the store's tables.
+pub(super) const FEED_PATH: &str = "/gateway/feeds";
 
 /// Time for which a connection may stay idle.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -61,8 +61,13 @@
         READY_PATH if is_ready(gateway) => (StatusCode::OK, Bytes::new()),
         READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
         "/metrics" => (StatusCode::OK, gateway.metrics.text().into()),
-        ROUTING_PATH => (StatusCode::OK, gateway.routing_bytes.borrow().clone()),
-        _ => (StatusCode::NOT_FOUND, Bytes::new()),
+        path => {
+            let feed = path.strip_prefix(FEED_PATH);
+            match feed.and_then(|path| peers::answer_feed(gateway, path)) {
+                Some(bytes) => (StatusCode::OK, bytes),
+                None => (StatusCode::NOT_FOUND, Bytes::new()),
+            }
+        }
     };
     let mut response = Response::new(Full::new(body));
     *response.status_mut() = status;
--- a/crates/verbenahinge/src/gateway/peer_message.rs
+++ b/crates/verbenahinge/src/gateway/peer_message.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr};
 
-use verbenahinge_core::gateway::{LoadReport, PeerDigest, PeerLoad, Reading, ServerDigest};
+use verbenahinge_core::gateway::{
+    Feed, FeedDelta, FeedRow, LoadReport, PeerDigest, PeerLoad, Reading, RowState, ServerDigest,
+};
 
 /// One datagram.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -11,14 +13,15 @@
     /// Process that sends it.
     #[prost(fixed64, tag = "1")]
     pub(super) vm: u64,
-    #[prost(uint64, tag = "2")]
-    pub(super) config_version: u64,
     #[prost(uint32, tag = "3")]
     pub(super) interactive_tokens_s: u32,
     #[prost(message, repeated, tag = "4")]
     pub(super) servers: Vec<ServerMessage>,
     #[prost(message, repeated, tag = "5")]
     pub(super) crashes: Vec<CrashMessage>,
+    /// Versions of the sender's copies of the store's tables.
+    #[prost(message, repeated, tag = "8")]
+    pub(super) feeds: Vec<FeedMessage>,
     /// Addresses of some VMs that the sender heard of.
     #[prost(fixed32, repeated, tag = "6")]
     pub(super) members: Vec<u32>,
@@ -27,6 +30,107 @@
     pub(super) is_leaving: bool,
 }
 
+/// Copy of one table.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct FeedMessage {
+    /// Number of the table; see [`feed_number`].
+    #[prost(uint32, tag = "1")]
+    pub(super) feed: u32,
+    #[prost(uint64, tag = "2")]
+    pub(super) version: u64,
+    /// Time since the copy was known to be the newest.
+    #[prost(uint32, tag = "3")]
+    pub(super) age_ms: u32,
+    /// The latest change, if it is small.
+    #[prost(message, optional, tag = "4")]
+    pub(super) delta: Option<DeltaMessage>,
+}
+
+/// Rows that changed between two versions.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct DeltaMessage {
+    #[prost(uint64, optional, tag = "1")]
+    pub(super) base: Option<u64>,
+    #[prost(uint64, tag = "2")]
+    pub(super) version: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub(super) rows: Vec<RowMessage>,
+}
+
+/// One row that changed.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct RowMessage {
+    #[prost(string, tag = "1")]
+    pub(super) key: String,
+    #[prost(bytes = "vec", optional, tag = "2")]
+    pub(super) value: Option<Vec<u8>>,
+    /// Whether a row without a value may come back.
+    #[prost(bool, tag = "3")]
+    pub(super) is_lapsed: bool,
+}
+
+impl DeltaMessage {
+    /// Encodes a change.
+    pub(super) fn encode_delta(delta: FeedDelta) -> Self {
+        let mut rows = Vec::new();
+        for row in delta.rows {
+            let (value, is_lapsed) = match row.state {
+                RowState::Present(value) => (Some(value.to_vec()), false),
+                RowState::Removed => (None, false),
+                RowState::Lapsed => (None, true),
+            };
+            rows.push(RowMessage {
+                key: row.key,
+                value,
+                is_lapsed,
+            });
+        }
+        Self {
+            base: delta.base,
+            version: delta.version,
+            rows,
+        }
+    }
+
+    /// Decodes a change.
+    pub(super) fn into_delta(self) -> FeedDelta {
+        let mut rows = Vec::new();
+        for row in self.rows {
+            let state = match (row.value, row.is_lapsed) {
+                (Some(value), _) => RowState::Present(value.into()),
+                (None, true) => RowState::Lapsed,
+                (None, false) => RowState::Removed,
+            };
+            rows.push(FeedRow {
+                key: row.key,
+                state,
+            });
+        }
+        FeedDelta {
+            base: self.base,
+            version: self.version,
+            rows,
+        }
+    }
+}
+
+/// Number of a table on the wire.
+pub(super) const fn feed_number(feed: Feed) -> u32 {
+    match feed {
+        Feed::Config => 1,
+        Feed::Servers => 2,
+    }
+}
+
+/// Table of a number; `None` for tables that this version does not know.
+pub(super) const fn feed_of(number: u32) -> Option<Feed> {
+    match number {
+        1 => Some(Feed::Config),
+        2 => Some(Feed::Servers),
+        _ => None,
+    }
+}
+
 /// Load on one backend server.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(super) struct ServerMessage {
@@ -68,7 +172,7 @@
 
 impl PeerMessage {
     /// Makes a datagram of a digest.
-    pub(super) fn new(digest: PeerDigest, members: Vec<u32>, is_leaving: bool) -> Self {
+    pub(super) fn new(digest: PeerDigest, feeds: Vec<FeedMessage>, members: Vec<u32>) -> Self {
         let mut servers = Vec::new();
         for server in digest.servers {
             servers.push(encode_server(server));
@@ -82,12 +186,12 @@
         }
         Self {
             vm: digest.vm,
-            config_version: digest.config_version,
             interactive_tokens_s: digest.interactive_tokens_s,
             servers,
             crashes,
+            feeds,
             members,
-            is_leaving,
+            is_leaving: false,
         }
     }
 
@@ -103,7 +207,6 @@
         }
         PeerDigest {
             vm: self.vm,
-            config_version: self.config_version,
             interactive_tokens_s: self.interactive_tokens_s,
             servers,
             crashes,
--- a/crates/verbenahinge/src/gateway/peers.rs
+++ b/crates/verbenahinge/src/gateway/peers.rs
@@ -1,7 +1,7 @@
 //! Digests between VMs, over UDP: losing one does no harm, since the next one says it all.
 
-use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
@@ -13,14 +13,17 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use prost::Message as _;
+use strum::IntoEnumIterator;
 use tokio::net::UdpSocket;
 use verbenahinge_core::Timestamp;
-use verbenahinge_core::gateway::ServerDigest;
+use verbenahinge_core::gateway::{Feed, ServerDigest};
+use verbenahinge_core::hash::mix64;
 use verbenahinge_platform::node_file::VmSettings;
-use verbenahinge_platform::routing;
 
-use super::control::ROUTING_PATH;
-use super::peer_message::{PeerMessage, pack_ip, unpack_ip};
+use super::control::FEED_PATH;
+use super::peer_message::{
+    DeltaMessage, FeedMessage, PeerMessage, feed_number, feed_of, pack_ip, unpack_ip,
+};
 use super::{Gateway, watch};
 use crate::event_log::LogEvent;
 
@@ -28,10 +31,11 @@
 const DIGEST_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Digests after which a complete one is sent, also when nothing has changed.
-const FULL_EVERY: u32 = 8;
+const FULL_EVERY: u32 = 5;
 
-/// Time after which a VM that was not heard of gets digests less often.
-const QUIET_AFTER: Duration = Duration::from_secs(3);
+/// Time after which a VM that was not heard of counts as lost; each VM hears of each other one
+/// several times in it.
+const LOST_AFTER: Duration = Duration::from_secs(5);
 
 /// Time after which a VM that was not heard of is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(40);
@@ -45,18 +49,25 @@
 /// Largest datagram.
 const DATAGRAM_BYTES: usize = 16 << 10;
 
-/// Time for which a newer version is left to the store's own watch before a VM is asked for it.
-const ASK_AFTER: Duration = Duration::from_millis(250);
+/// Largest change that is told in a datagram; larger ones are read from the store.
+const DELTA_BYTES: usize = 1100;
 
 /// Time within which a VM answers.
 const ASK_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Largest configuration that is read from another VM.
-const ROUTING_LIMIT_BYTES: usize = 8 << 20;
+/// Largest copy of a table that is read from another VM.
+const FEED_LIMIT_BYTES: usize = 8 << 20;
 
 #[derive(Clone, Copy, Debug)]
 struct Member {
-    heard: Timestamp,
+    heard: Option<Timestamp>,
+    added: Timestamp,
+}
+
+impl Member {
+    fn is_live(self, now: Timestamp) -> bool {
+        self.heard.is_some_and(|heard| heard + LOST_AFTER > now)
+    }
 }
 
 /// Other VMs, and the socket to them.
@@ -65,7 +76,7 @@
     port: u16,
     own_ip: IpAddr,
     members: RefCell<BTreeMap<IpAddr, Member>>,
-    asking: RefCell<BTreeSet<IpAddr>>,
+    is_announced: Cell<bool>,
 }
 
 impl Peers {
@@ -80,7 +91,7 @@
             port: settings.peer_port,
             own_ip: settings.ip,
             members: RefCell::default(),
-            asking: RefCell::default(),
+            is_announced: Cell::new(false),
         };
         for seed in &settings.seeds {
             peers.add(Duration::ZERO, seed.ip());
@@ -92,7 +103,10 @@
     pub(crate) fn add(&self, now: Timestamp, ip: IpAddr) {
         if ip != self.own_ip {
             let mut members = self.members.borrow_mut();
-            members.entry(ip).or_insert(Member { heard: now });
+            members.entry(ip).or_insert(Member {
+                heard: None,
+                added: now,
+            });
         }
     }
 
@@ -100,18 +114,47 @@
         self.members.borrow_mut().remove(&ip);
     }
 
-    fn heard(&self, now: Timestamp, ip: IpAddr) {
-        self.members.borrow_mut().insert(ip, Member { heard: now });
+    /// Takes note of a word from a VM; says whether it is the first one.
+    fn heard(&self, now: Timestamp, ip: IpAddr) -> bool {
+        let member = Member {
+            heard: Some(now),
+            added: now,
+        };
+        let old = self.members.borrow_mut().insert(ip, member);
+        old.is_none_or(|old| !old.is_live(now))
     }
 
-    /// VMs that get the next digest, those that were heard of lately first.
-    fn receivers(&self, now: Timestamp, round: u32) -> Vec<IpAddr> {
+    /// Place of this VM among those that live, the same on all of them.
+    pub(crate) fn rank(&self, now: Timestamp) -> usize {
+        let order = |ip: IpAddr| mix64(u64::from(pack_ip(ip).unwrap_or(0)), 0x7761_7463);
+        let own = order(self.own_ip);
+        let members = self.members.borrow();
+        let live = members.iter().filter(|(_, member)| member.is_live(now));
+        live.filter(|&(&ip, _)| order(ip) < own).count()
+    }
+
+    /// Says whether no other VM is heard of.
+    pub(crate) fn is_lonely(&self, now: Timestamp) -> bool {
+        let members = self.members.borrow();
+        !members.values().any(|member| member.is_live(now))
+    }
+
+    fn forget_old(&self, now: Timestamp) {
         let mut members = self.members.borrow_mut();
-        members.retain(|_, member| member.heard + FORGET_AFTER > now);
+        members.retain(|_, member| {
+            let last = member
+                .heard
+                .map_or(member.added, |heard| heard.max(member.added));
+            last + FORGET_AFTER > now
+        });
+    }
+
+    /// VMs that get the digest of a round.
+    fn receivers(&self, now: Timestamp, round: u32) -> Vec<IpAddr> {
+        let members = self.members.borrow();
         let mut receivers = Vec::new();
         for (&ip, member) in members.iter() {
-            let is_quiet = member.heard + QUIET_AFTER < now;
-            if !is_quiet || round.is_multiple_of(FULL_EVERY) {
+            if member.is_live(now) || round.is_multiple_of(FULL_EVERY) {
                 receivers.push(ip);
             }
         }
@@ -124,6 +167,10 @@
         receivers
     }
 
+    fn all(&self) -> Vec<IpAddr> {
+        self.members.borrow().keys().copied().collect()
+    }
+
     fn named(&self, round: u32) -> Vec<u32> {
         let members = self.members.borrow();
         let skip = usize::try_from(round).unwrap_or(0) * MEMBERS_NAMED;
@@ -135,6 +182,36 @@
             .filter_map(|&ip| pack_ip(ip))
             .collect()
     }
+
+    async fn send(&self, message: &PeerMessage, receivers: &[IpAddr]) {
+        let datagram = message.encode_to_vec();
+        for &ip in receivers {
+            let address = SocketAddr::from((ip, self.port));
+            if let Err(error) = self.socket.send_to(&datagram, address).await {
+                log::debug!("digest to {address} not sent: {error}");
+            }
+        }
+    }
+}
+
+fn feed_messages(gateway: &Gateway) -> Vec<FeedMessage> {
+    let now = gateway.now();
+    let mut feeds = Vec::new();
+    for feed in Feed::iter() {
+        let (version, age) = gateway
+            .feeds
+            .with(feed, |copy| (copy.changed_at(), copy.age(now)));
+        let (Some(version), Some(age)) = (version, age) else {
+            continue;
+        };
+        feeds.push(FeedMessage {
+            feed: feed_number(feed),
+            version,
+            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+            delta: None,
+        });
+    }
+    feeds
 }
 
 /// Sends digests for as long as the process lives.
@@ -145,6 +222,7 @@
         actix_rt::time::sleep(DIGEST_INTERVAL).await;
         round = round.wrapping_add(1);
         let now = gateway.now();
+        gateway.peers.forget_old(now);
         let is_full = round.is_multiple_of(FULL_EVERY);
         let mut digest = gateway.state.borrow().digest(now);
         if !is_full {
@@ -164,32 +242,59 @@
         } else {
             Vec::new()
         };
-        send_to_all(
-            &gateway,
-            PeerMessage::new(digest, members, false),
-            now,
-            round,
-        )
-        .await;
+        let message = PeerMessage::new(digest, feed_messages(&gateway), members);
+        let receivers = gateway.peers.receivers(now, round);
+        gateway.peers.send(&message, &receivers).await;
     }
 }
 
-async fn send_to_all(gateway: &Gateway, message: PeerMessage, now: Timestamp, round: u32) {
-    let datagram = message.encode_to_vec();
-    for ip in gateway.peers.receivers(now, round) {
-        let address = SocketAddr::from((ip, gateway.peers.port));
-        if let Err(error) = gateway.peers.socket.send_to(&datagram, address).await {
-            log::debug!("digest to {address} not sent: {error}");
+/// Tells all VMs at once that a table has changed.
+pub(super) fn push_news(gateway: &Rc<Gateway>, feed: Feed, base: Option<u64>) {
+    let mut feeds = feed_messages(gateway);
+    let delta = base.and_then(|base| {
+        gateway
+            .feeds
+            .with(feed, |copy| copy.delta_since(Some(base)))
+    });
+    if let Some(delta) = delta.map(DeltaMessage::encode_delta)
+        && delta.encoded_len() <= DELTA_BYTES
+    {
+        for message in &mut feeds {
+            if message.feed == feed_number(feed) {
+                message.delta = Some(delta.clone());
+            }
         }
     }
+    let mut message = PeerMessage::new(
+        gateway.state.borrow().own_digest(gateway.now()),
+        feeds,
+        Vec::new(),
+    );
+    message.servers.clear();
+    let gateway = Rc::clone(gateway);
+    actix_rt::spawn(async move {
+        let receivers = gateway.peers.all();
+        gateway.peers.send(&message, &receivers).await;
+    });
+}
+
+/// Writes the address of this VM into the store once it watches for others.
+pub(super) fn announce_watcher(gateway: &Rc<Gateway>) {
+    if !gateway.peers.is_announced.replace(true) {
+        actix_rt::spawn(watch::write_address(Rc::clone(gateway)));
+    }
 }
 
 /// Tells the other VMs that this one is about to end.
 pub(super) async fn say_farewell(gateway: &Gateway) {
-    let now = gateway.now();
-    let digest = gateway.state.borrow().digest(now);
-    let message = PeerMessage::new(digest, Vec::new(), true);
-    send_to_all(gateway, message, now, 0).await;
+    let mut message = PeerMessage::new(
+        gateway.state.borrow().own_digest(gateway.now()),
+        Vec::new(),
+        Vec::new(),
+    );
+    message.is_leaving = true;
+    let receivers = gateway.peers.all();
+    gateway.peers.send(&message, &receivers).await;
 }
 
 /// Receives digests for as long as the process lives.
@@ -213,59 +318,93 @@
     }
 }
 
-fn take_in(gateway: &Rc<Gateway>, from: IpAddr, message: PeerMessage) {
+fn take_in(gateway: &Rc<Gateway>, from: IpAddr, mut message: PeerMessage) {
     let now = gateway.now();
     if message.is_leaving {
         gateway.peers.remove(from);
+        gateway.state.borrow_mut().forget_peer(message.vm);
         LogEvent::PeerLost.log(&[("address", &from), ("cause", &"it is about to end")]);
         return;
     }
-    gateway.peers.heard(now, from);
     for &bits in &message.members {
         gateway.peers.add(now, unpack_ip(bits));
     }
-    let digest = message.into_digest();
-    let version = digest.config_version;
-    let (is_new, is_behind) = {
-        let mut state = gateway.state.borrow_mut();
-        let is_new = state.note_digest(now, &digest);
-        (is_new, version > state.config_version())
-    };
-    if is_new {
+    for feed in std::mem::take(&mut message.feeds) {
+        take_feed(gateway, from, feed);
+    }
+    gateway
+        .state
+        .borrow_mut()
+        .note_digest(now, &message.into_digest());
+    if gateway.peers.heard(now, from) {
         LogEvent::PeerLinked.log(&[("address", &from)]);
+        welcome(gateway, from);
     }
-    if is_behind && gateway.peers.asking.borrow_mut().insert(from) {
-        let gateway = Rc::clone(gateway);
-        actix_rt::spawn(async move {
-            actix_rt::time::sleep(ASK_AFTER).await;
-            if version > gateway.state.borrow().config_version() {
-                ask_for_routing(&gateway, from).await;
-            }
-            gateway.peers.asking.borrow_mut().remove(&from);
-        });
+}
+
+/// Tells a VM that is new of all others.
+fn welcome(gateway: &Rc<Gateway>, to: IpAddr) {
+    let members = gateway.peers.all();
+    let members = members.into_iter().filter_map(pack_ip).collect();
+    let digest = gateway.state.borrow().own_digest(gateway.now());
+    let message = PeerMessage::new(digest, feed_messages(gateway), members);
+    let gateway = Rc::clone(gateway);
+    actix_rt::spawn(async move { gateway.peers.send(&message, &[to]).await });
+}
+
+fn take_feed(gateway: &Gateway, from: IpAddr, message: FeedMessage) {
+    let Some(feed) = feed_of(message.feed) else {
+        return;
+    };
+    let now = gateway.now();
+    let version = message.version;
+    if let Some(delta) = message.delta {
+        watch::take_delta(gateway, feed, &delta.into_delta());
+    }
+    if gateway.feeds.with(feed, |copy| copy.is_behind(version)) {
+        gateway.feeds.fall_behind(feed, from);
     }
+    let age = Duration::from_millis(u64::from(message.age_ms));
+    gateway
+        .feeds
+        .with(feed, |copy| copy.confirm(now, version, age));
 }
 
-/// Reads the configuration from a VM that has a newer version, when the store does not tell.
-async fn ask_for_routing(gateway: &Gateway, from: IpAddr) {
+/// Reads a table from a VM that has a newer copy, when the store does not answer.
+pub(super) async fn fetch_feed(gateway: &Gateway, from: IpAddr, feed: Feed) {
     let control = gateway.settings.borrow().control_listen;
     let Some(control) = control else {
         return;
     };
     let address = SocketAddr::from((from, control.port()));
-    match actix_rt::time::timeout(ASK_TIMEOUT, fetch(address)).await {
-        Ok(Ok(bytes)) => match routing::decode(&bytes) {
-            Ok(routing) => watch::adopt(gateway, routing, bytes, "peer"),
+    let own = gateway.feeds.with(feed, |copy| copy.seen_until());
+    let number = feed_number(feed);
+    let path = format!("{FEED_PATH}/{number}/{}", own.unwrap_or(0));
+    match actix_rt::time::timeout(ASK_TIMEOUT, fetch(address, &path)).await {
+        Ok(Ok(bytes)) => match DeltaMessage::decode(bytes) {
+            Ok(message) => {
+                watch::take_delta(gateway, feed, &message.into_delta());
+            }
             Err(error) => {
-                LogEvent::ConfigUnreadable.log(&[("source", &address), ("cause", &error)])
+                LogEvent::DigestUnreadable.log(&[("address", &address), ("cause", &error)]);
             }
         },
-        Ok(Err(error)) => log::debug!("no configuration from {address}: {error}"),
-        Err(_) => log::debug!("no configuration from {address} in time"),
+        Ok(Err(error)) => log::debug!("no copy of {number} from {address}: {error}"),
+        Err(_) => log::debug!("no copy of {number} from {address} in time"),
     }
 }
 
-async fn fetch(address: SocketAddr) -> io::Result<Bytes> {
+/// Answers a VM that asks for a table.
+pub(super) fn answer_feed(gateway: &Gateway, path: &str) -> Option<Bytes> {
+    let (number, since) = path.strip_prefix('/')?.split_once('/')?;
+    let feed = feed_of(number.parse().ok()?)?;
+    let since: u64 = since.parse().ok()?;
+    let base = (since > 0).then_some(since);
+    let delta = gateway.feeds.with(feed, |copy| copy.delta_since(base))?;
+    Some(DeltaMessage::encode_delta(delta).encode_to_vec().into())
+}
+
+async fn fetch(address: SocketAddr, path: &str) -> io::Result<Bytes> {
     let stream = verbenahinge_http::connect(address, ASK_TIMEOUT).await?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
@@ -275,7 +414,7 @@
             log::debug!("connection to {address} ended: {error}");
         }
     });
-    let request = Request::get(ROUTING_PATH)
+    let request = Request::get(path)
         .header(hyper::header::HOST, address.to_string())
         .body(Full::new(Bytes::new()))
         .map_err(io::Error::other)?;
@@ -283,7 +422,7 @@
         .send_request(request)
         .await
         .map_err(io::Error::other)?;
-    let body = Limited::new(answer.into_body(), ROUTING_LIMIT_BYTES)
+    let body = Limited::new(answer.into_body(), FEED_LIMIT_BYTES)
         .collect()
         .await
         .map_err(io::Error::other)?;
--- a/crates/verbenahinge/src/gateway/shutdown.rs
+++ b/crates/verbenahinge/src/gateway/shutdown.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::{Gateway, peers, watch};
+use super::{Gateway, peers};
 use crate::event_log::LogEvent;
 
 /// Time within which the platform notices that the VM takes no new callers: two questions, a
@@ -29,8 +29,6 @@
         ("in_flight", &gateway.requests_in_flight.get()),
     ]);
     peers::say_farewell(gateway).await;
-    let leaving = Rc::clone(gateway);
-    actix_rt::spawn(async move { watch::withdraw(&leaving).await });
     actix_rt::time::sleep(NOTICE_TIME).await;
     // Requests that still arrive are refused, and their connections close.
     gateway.is_closing.set(true);
--- a/crates/verbenahinge/src/gateway/watch.rs
+++ b/crates/verbenahinge/src/gateway/watch.rs
@@ -1,29 +1,35 @@
-//! What the platform's store holds: the configuration, the backend servers, the other VMs.
+//! Copies of the store's tables: watched at the store, or learned from other VMs.
 
-use std::collections::BTreeSet;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use verbenahinge_core::ServerName;
-use verbenahinge_core::gateway::Routing;
+use strum::IntoEnumIterator;
+use tokio::sync::Notify;
+use verbenahinge_core::gateway::{
+    Feed, FeedDelta, FeedRow, RowState, StoreRow, TableCopy, watches_store,
+};
 use verbenahinge_core::hash::jitter;
-use verbenahinge_platform::registry;
-use verbenahinge_platform::routing;
 use verbenahinge_platform::store::{
-    CONFIG_KEY, OPERATOR_TABLE, Row, SERVER_TABLE, StoreClient, StoreError, VM_TABLE,
+    CONFIG_KEY, OPERATOR_TABLE, Rows, SERVER_TABLE, StoreClient, StoreError, VM_TABLE,
 };
+use verbenahinge_platform::{registry, routing};
 
-use super::Gateway;
+use super::{Gateway, peers};
 use crate::event_log::LogEvent;
 
 /// Time for which one watch waits for a change. A watch whose history was dropped may hear
 /// nothing, so that this bounds how late a change is seen.
-const CONFIG_WAIT: Duration = Duration::from_millis(1500);
+const WATCH_WAIT: Duration = Duration::from_millis(1000);
+
+/// Time between two looks at whether this VM has to watch.
+const ROLE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time for which one watch of the backend servers waits for a change.
-const REGISTRY_WAIT: Duration = Duration::from_millis(3000);
+/// Time after the start in which other VMs are heard of, before this one begins to watch.
+const SETTLE_TIME: Duration = Duration::from_millis(700);
 
 /// First pause after a call that failed.
 const PAUSE_BASE: Duration = Duration::from_millis(100);
@@ -31,8 +37,54 @@
 /// Longest pause after calls that failed; every VM pays for its calls.
 const PAUSE_MAX: Duration = Duration::from_millis(500);
 
-/// Time between two tries to announce this VM.
-const ANNOUNCE_PAUSE: Duration = Duration::from_secs(1);
+/// Time without a word from another VM after which the store is asked for their addresses.
+const LONELY_AFTER: Duration = Duration::from_millis(1500);
+
+/// Time between two tries to find other VMs through the store.
+const LONELY_PAUSE: Duration = Duration::from_secs(3);
+
+/// Copies of all tables.
+pub(crate) struct Feeds {
+    copies: RefCell<BTreeMap<Feed, TableCopy>>,
+    behind: RefCell<BTreeMap<Feed, IpAddr>>,
+    news: Notify,
+    unreadable: RefCell<BTreeSet<String>>,
+}
+
+impl Feeds {
+    pub(crate) fn new() -> Self {
+        let copies = Feed::iter().map(|feed| (feed, TableCopy::default()));
+        Self {
+            copies: RefCell::new(copies.collect()),
+            behind: RefCell::default(),
+            news: Notify::new(),
+            unreadable: RefCell::default(),
+        }
+    }
+
+    /// Reads or changes the copy of a table.
+    pub(crate) fn with<T>(&self, feed: Feed, act: impl FnOnce(&mut TableCopy) -> T) -> T {
+        let mut copies = self.copies.borrow_mut();
+        act(copies.entry(feed).or_default())
+    }
+
+    /// Takes note that another VM has a newer copy.
+    pub(crate) fn fall_behind(&self, feed: Feed, source: IpAddr) {
+        self.behind.borrow_mut().insert(feed, source);
+        self.news.notify_waiters();
+    }
+
+    fn take_behind(&self, feed: Feed) -> Option<IpAddr> {
+        self.behind.borrow_mut().remove(&feed)
+    }
+}
+
+const fn table_of(feed: Feed) -> &'static str {
+    match feed {
+        Feed::Config => OPERATOR_TABLE,
+        Feed::Servers => SERVER_TABLE,
+    }
+}
 
 /// Whether the store answers, and how long to pause when it does not.
 struct StoreHealth {
@@ -74,180 +126,198 @@
     }
 }
 
-/// Follows the operator's configuration.
-pub(super) async fn watch_config(gateway: Rc<Gateway>) {
+/// Keeps the copy of a table up to date for as long as the process lives.
+pub(super) async fn follow(gateway: Rc<Gateway>, feed: Feed) {
     let mut store = StoreClient::new(gateway.settings.borrow().store);
-    let mut health = StoreHealth::new(OPERATOR_TABLE);
-    let mut since: Option<u64> = None;
+    let mut health = StoreHealth::new(table_of(feed));
+    let mut must_read = false;
     loop {
-        let result = match since {
-            None => store.read_table(OPERATOR_TABLE).await,
-            Some(version) => {
-                store
-                    .watch_table(OPERATOR_TABLE, version, CONFIG_WAIT)
-                    .await
+        let feeds = &gateway.feeds;
+        let since = feeds.with(feed, |copy| copy.seen_until());
+        let source = feeds.take_behind(feed);
+        let watches = watches(&gateway, feed);
+        if !watches && source.is_none() {
+            let news = feeds.news.notified();
+            tokio::select! {
+                () = news => {}
+                () = actix_rt::time::sleep(ROLE_INTERVAL) => {}
             }
+            continue;
+        }
+        let wait = if source.is_some() {
+            Duration::ZERO
+        } else {
+            WATCH_WAIT
+        };
+        let result = match since {
+            Some(version) if !must_read => store
+                .watch_table(table_of(feed), version, wait)
+                .await
+                .map(|rows| (rows, false)),
+            _ => store
+                .read_table(table_of(feed))
+                .await
+                .map(|rows| (rows, true)),
         };
         match result {
-            Ok(rows) => {
+            Ok((rows, is_whole)) => {
+                let after_outage = health.is_lost();
                 health.note_answer();
-                since = Some(rows.version);
-                for row in rows.rows {
-                    take_config(&gateway, row);
+                must_read = false;
+                take_rows(&gateway, feed, rows, is_whole, after_outage);
+                if watches {
+                    peers::announce_watcher(&gateway);
                 }
             }
-            Err(StoreError::HistoryGone) => since = None,
+            Err(StoreError::HistoryGone) => must_read = true,
             Err(error) => {
+                if let Some(source) = source {
+                    peers::fetch_feed(&gateway, source, feed).await;
+                }
                 health.note_failure(&error).await;
-                // A channel that lost an answer may have lost changes with it.
-                since = None;
             }
         }
     }
 }
 
-fn take_config(gateway: &Gateway, row: Row) {
-    let (CONFIG_KEY, Some(value)) = (row.key.as_str(), row.value) else {
-        return;
-    };
-    match routing::decode(&value) {
-        Ok(routing) => adopt(gateway, routing, value.into(), "store"),
-        Err(error) => LogEvent::ConfigUnreadable.log(&[("source", &"store"), ("cause", &error)]),
+/// Says whether this VM watches the store itself for a table.
+fn watches(gateway: &Gateway, feed: Feed) -> bool {
+    let now = gateway.now();
+    let (is_known, age) = gateway
+        .feeds
+        .with(feed, |copy| (copy.seen_until().is_some(), copy.age(now)));
+    if is_known && now < SETTLE_TIME {
+        return false;
     }
+    let age = if is_known { age } else { None };
+    watches_store(gateway.peers.rank(now), age)
 }
 
-/// Brings a version into force if it is newer than the one that is.
-pub(super) fn adopt(gateway: &Gateway, routing: Routing, bytes: Bytes, source: &str) {
-    let version = routing.version;
-    if !gateway.state.borrow_mut().adopt_routing(routing) {
-        return;
+fn take_rows(gateway: &Rc<Gateway>, feed: Feed, rows: Rows, is_whole: bool, after_outage: bool) {
+    let now = gateway.now();
+    let version = rows.version;
+    let base = gateway.feeds.with(feed, |copy| copy.changed_at());
+    let mut changes = Vec::new();
+    for row in rows.rows {
+        changes.push(StoreRow {
+            key: row.key,
+            version: row.version,
+            value: row.value.map(Arc::from),
+        });
     }
-    gateway.routing_bytes.replace(bytes);
-    LogEvent::ConfigInForce.log(&[("version", &version), ("source", &source)]);
-}
-
-/// Follows the entries of the backend servers.
-pub(super) async fn watch_registry(gateway: Rc<Gateway>) {
-    let mut store = StoreClient::new(gateway.settings.borrow().store);
-    let mut health = StoreHealth::new(SERVER_TABLE);
-    let mut unreadable = BTreeSet::new();
-    let mut since: Option<u64> = None;
-    loop {
-        let result = match since {
-            None => store.read_table(SERVER_TABLE).await,
-            Some(version) => {
-                store
-                    .watch_table(SERVER_TABLE, version, REGISTRY_WAIT)
-                    .await
-            }
-        };
-        match result {
-            Ok(rows) => {
-                let after_outage = health.is_lost();
-                health.note_answer();
-                let mut listed = Vec::new();
-                for row in rows.rows {
-                    listed.push(ServerName::from(row.key.as_str()));
-                    take_server(&gateway, row, &mut unreadable);
-                }
-                if since.is_none() {
-                    complete(&gateway, &listed, after_outage);
-                }
-                since = Some(rows.version);
-            }
-            Err(StoreError::HistoryGone) => since = None,
-            Err(error) => {
-                health.note_failure(&error).await;
-                since = None;
-            }
+    let news = gateway.feeds.with(feed, |copy| {
+        if is_whole {
+            copy.take_whole(now, version, changes, after_outage)
+        } else {
+            copy.take_changes(now, version, changes, after_outage)
         }
+    });
+    apply(gateway, feed, &news, "store");
+    if !news.is_empty() {
+        peers::push_news(gateway, feed, base);
     }
 }
 
-fn complete(gateway: &Gateway, listed: &[ServerName], after_outage: bool) {
-    let now = gateway.now();
-    let gone = {
-        let mut state = gateway.state.borrow_mut();
-        state.complete_registry(now, listed, after_outage)
-    };
-    for server in gone {
-        LogEvent::ServerListed.log(&[("server", &server), ("change", &"removed")]);
+/// Takes in what another VM tells of a table, if it fits the copy.
+pub(super) fn take_delta(gateway: &Gateway, feed: Feed, delta: &FeedDelta) {
+    let news = gateway.feeds.with(feed, |copy| copy.take_delta(delta));
+    if let Some(news) = news {
+        apply(gateway, feed, &news, "peer");
     }
 }
 
-fn take_server(gateway: &Gateway, row: Row, unreadable: &mut BTreeSet<String>) {
-    let mut state = gateway.state.borrow_mut();
-    let id = row.key;
-    let Some(value) = row.value else {
-        unreadable.remove(&id);
-        if let Some(change) = state.remove_server(&id) {
-            LogEvent::ServerListed.log(&[("server", &id), ("change", &change)]);
+fn apply(gateway: &Gateway, feed: Feed, news: &[FeedRow], source: &str) {
+    for row in news {
+        match feed {
+            Feed::Config => take_config(gateway, row, source),
+            Feed::Servers => take_server(gateway, row, source),
         }
+    }
+    if feed == Feed::Servers {
+        gateway.state.borrow_mut().complete_registry();
+    }
+}
+
+fn take_config(gateway: &Gateway, row: &FeedRow, source: &str) {
+    let (CONFIG_KEY, RowState::Present(value)) = (row.key.as_str(), &row.state) else {
         return;
     };
-    match registry::decode(&id, &value) {
-        Ok(entry) => {
-            unreadable.remove(&id);
-            let address = entry.address;
-            let service = entry.service.clone();
-            if let Some(change) = state.upsert_server(entry) {
-                LogEvent::ServerListed.log(&[
-                    ("server", &id),
-                    ("change", &change),
-                    ("service", &service),
-                    ("address", &address),
-                ]);
-            }
-        }
-        Err(error) => {
-            state.remove_server(&id);
-            if unreadable.insert(id.clone()) {
-                LogEvent::ServerUnreadable.log(&[("server", &id), ("cause", &error)]);
+    match routing::decode(value) {
+        Ok(routing) => {
+            let version = routing.version;
+            if gateway.state.borrow_mut().adopt_routing(routing) {
+                LogEvent::ConfigInForce.log(&[("version", &version), ("source", &source)]);
             }
         }
+        Err(error) => LogEvent::ConfigUnreadable.log(&[("source", &source), ("cause", &error)]),
     }
 }
 
-/// Announces this VM in the store and learns of the others, once.
-pub(super) async fn announce(gateway: Rc<Gateway>) {
-    let (address, ip) = {
-        let settings = gateway.settings.borrow();
-        (settings.store, settings.ip)
+fn take_server(gateway: &Gateway, row: &FeedRow, source: &str) {
+    let now = gateway.now();
+    let mut state = gateway.state.borrow_mut();
+    let mut unreadable = gateway.feeds.unreadable.borrow_mut();
+    let id = row.key.as_str();
+    let change = match &row.state {
+        RowState::Removed => state.remove_server(id),
+        RowState::Lapsed => state.lapse_server(now, id),
+        RowState::Present(value) => match registry::decode(id, value) {
+            Ok(entry) => {
+                unreadable.remove(id);
+                state.upsert_server(entry)
+            }
+            Err(error) => {
+                if unreadable.insert(id.to_owned()) {
+                    LogEvent::ServerUnreadable.log(&[("server", &id), ("cause", &error)]);
+                }
+                state.remove_server(id)
+            }
+        },
     };
-    let mut store = StoreClient::new(address);
-    let key = ip.to_string();
-    while let Err(error) = store.put(VM_TABLE, &key, b"1").await {
-        log::debug!("this VM is not announced yet: {error}");
-        actix_rt::time::sleep(ANNOUNCE_PAUSE).await;
-    }
+    let Some(change) = change else {
+        return;
+    };
+    let entry = state.registry().get(id);
+    let service = entry.map_or("-", |entry| &*entry.service);
+    let address = entry.map_or_else(|| "-".to_owned(), |entry| entry.address.to_string());
+    LogEvent::ServerListed.log(&[
+        ("server", &id),
+        ("change", &change),
+        ("service", &service),
+        ("address", &address),
+        ("source", &source),
+    ]);
+}
+
+/// Looks for other VMs in the store for as long as none is heard of.
+pub(super) async fn find_others(gateway: Rc<Gateway>) {
+    let mut store = StoreClient::new(gateway.settings.borrow().store);
     loop {
-        match store.read_table(VM_TABLE).await {
-            Ok(rows) => {
-                let now = gateway.now();
-                for row in rows.rows {
-                    if let Ok(ip) = row.key.parse::<IpAddr>() {
-                        gateway.peers.add(now, ip);
+        actix_rt::time::sleep(LONELY_AFTER).await;
+        if gateway.peers.is_lonely(gateway.now()) {
+            match store.read_table(VM_TABLE).await {
+                Ok(rows) => {
+                    for row in rows.rows {
+                        if let Ok(ip) = row.key.parse::<IpAddr>() {
+                            gateway.peers.add(gateway.now(), ip);
+                        }
                     }
                 }
-                break;
-            }
-            Err(error) => {
-                log::debug!("the other VMs are not known yet: {error}");
-                actix_rt::time::sleep(ANNOUNCE_PAUSE).await;
+                Err(error) => log::debug!("other VMs cannot be looked up: {error}"),
             }
+            actix_rt::time::sleep(LONELY_PAUSE).await;
         }
     }
-    std::future::pending().await
 }
 
-/// Withdraws the announcement of this VM.
-pub(super) async fn withdraw(gateway: &Gateway) {
+/// Writes the address of this VM into the store, so that VMs with stale seeds find it.
+pub(super) async fn write_address(gateway: Rc<Gateway>) {
     let (address, ip) = {
         let settings = gateway.settings.borrow();
         (settings.store, settings.ip)
     };
     let mut store = StoreClient::new(address);
-    if let Err(error) = store.remove(VM_TABLE, &ip.to_string()).await {
-        log::debug!("this VM stays announced: {error}");
+    if let Err(error) = store.put(VM_TABLE, &ip.to_string(), b"1").await {
+        log::debug!("the address of this VM is not in the store: {error}");
     }
 }
