--- a/crates/verbenahinge-core/src/gateway/feed.rs
+++ b/crates/verbenahinge-core/src/gateway/feed.rs
@@ -20,7 +20,7 @@
 
 /// Age of a copy up to which it counts as fresh: the time that one watch waits, the time that a
 /// digest takes to arrive, and a lost one.
-const FRESH: Duration = Duration::from_millis(1900);
+const FRESH: Duration = Duration::from_millis(2900);
 
 /// Removed rows that are remembered, so that others can be told.
 const REMOVED_LIMIT: usize = 2000;
@@ -170,16 +170,17 @@
         }
         let mut news = Vec::new();
         for row in rows {
-            let state = match row.value {
-                Some(value) => RowState::Present(value),
-                None if after_outage => RowState::Lapsed,
-                None => RowState::Removed,
+            // A row that is gone still bears the version of its last value.
+            let (changed_at, state) = match row.value {
+                Some(value) => (row.version.min(version), RowState::Present(value)),
+                None if after_outage => (version, RowState::Lapsed),
+                None => (version, RowState::Removed),
             };
             let changed = FeedRow {
                 key: row.key,
                 state,
             };
-            self.store(row.version.min(version), changed, &mut news);
+            self.store(changed_at, changed, &mut news);
         }
         self.seen_until = Some(version);
         self.confirmed = self.confirmed.max(Some(now));
--- a/crates/verbenahinge/src/gateway.rs
+++ b/crates/verbenahinge/src/gateway.rs
@@ -168,6 +168,12 @@
     start(&gateway, "registry", |gateway| {
         watch::follow(gateway, Feed::Servers)
     });
+    start(&gateway, "config_news", |gateway| {
+        watch::catch_up(gateway, Feed::Config)
+    });
+    start(&gateway, "registry_news", |gateway| {
+        watch::catch_up(gateway, Feed::Servers)
+    });
     start(&gateway, "membership", watch::find_others);
     start(&gateway, "digests_in", peers::receive);
     start(&gateway, "digests_out", peers::send);
--- a/crates/verbenahinge/src/gateway/peers.rs
+++ b/crates/verbenahinge/src/gateway/peers.rs
@@ -53,7 +53,7 @@
 const DELTA_BYTES: usize = 1100;
 
 /// Time within which a VM answers.
-const ASK_TIMEOUT: Duration = Duration::from_millis(800);
+const ASK_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Largest copy of a table that is read from another VM.
 const FEED_LIMIT_BYTES: usize = 8 << 20;
@@ -362,7 +362,7 @@
         watch::take_delta(gateway, feed, &delta.into_delta());
     }
     if gateway.feeds.with(feed, |copy| copy.is_behind(version)) {
-        gateway.feeds.fall_behind(feed, from);
+        gateway.feeds.fall_behind(feed, from, version);
     }
     let age = Duration::from_millis(u64::from(message.age_ms));
     gateway
@@ -370,7 +370,7 @@
         .with(feed, |copy| copy.confirm(now, version, age));
 }
 
-/// Reads a table from a VM that has a newer copy, when the store does not answer.
+/// Reads a table from a VM that has a newer copy.
 pub(super) async fn fetch_feed(gateway: &Gateway, from: IpAddr, feed: Feed) {
     let control = gateway.settings.borrow().control_listen;
     let Some(control) = control else {
--- a/crates/verbenahinge/src/gateway/watch.rs
+++ b/crates/verbenahinge/src/gateway/watch.rs
@@ -23,13 +23,16 @@
 
 /// Time for which one watch waits for a change. A watch whose history was dropped may hear
 /// nothing, so that this bounds how late a change is seen.
-const WATCH_WAIT: Duration = Duration::from_millis(1000);
+const WATCH_WAIT: Duration = Duration::from_millis(2000);
 
 /// Time between two looks at whether this VM has to watch.
 const ROLE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time in which a change that another VM has is left to the datagram that tells it.
+const PUSH_TIME: Duration = Duration::from_millis(120);
+
 /// Time after the start in which other VMs are heard of, before this one begins to watch.
-const SETTLE_TIME: Duration = Duration::from_millis(700);
+const SETTLE_TIME: Duration = Duration::from_millis(2000);
 
 /// First pause after a call that failed.
 const PAUSE_BASE: Duration = Duration::from_millis(100);
@@ -43,10 +46,17 @@
 /// Time between two tries to find other VMs through the store.
 const LONELY_PAUSE: Duration = Duration::from_secs(3);
 
+/// A change that another VM has.
+#[derive(Clone, Copy, Debug)]
+struct Behind {
+    source: IpAddr,
+    version: u64,
+}
+
 /// Copies of all tables.
 pub(crate) struct Feeds {
     copies: RefCell<BTreeMap<Feed, TableCopy>>,
-    behind: RefCell<BTreeMap<Feed, IpAddr>>,
+    behind: RefCell<BTreeMap<Feed, Behind>>,
     news: Notify,
     unreadable: RefCell<BTreeSet<String>>,
 }
@@ -69,13 +79,20 @@
     }
 
     /// Takes note that another VM has a newer copy.
-    pub(crate) fn fall_behind(&self, feed: Feed, source: IpAddr) {
-        self.behind.borrow_mut().insert(feed, source);
+    pub(crate) fn fall_behind(&self, feed: Feed, source: IpAddr, version: u64) {
+        self.behind
+            .borrow_mut()
+            .insert(feed, Behind { source, version });
         self.news.notify_waiters();
     }
 
-    fn take_behind(&self, feed: Feed) -> Option<IpAddr> {
-        self.behind.borrow_mut().remove(&feed)
+    fn is_behind(&self, feed: Feed) -> Option<IpAddr> {
+        let behind = self.behind.borrow().get(&feed).copied()?;
+        if self.with(feed, |copy| copy.is_behind(behind.version)) {
+            return Some(behind.source);
+        }
+        self.behind.borrow_mut().remove(&feed);
+        None
     }
 }
 
@@ -126,56 +143,68 @@
     }
 }
 
-/// Keeps the copy of a table up to date for as long as the process lives.
+/// Watches a table at the store whenever that is this VM's part.
 pub(super) async fn follow(gateway: Rc<Gateway>, feed: Feed) {
     let mut store = StoreClient::new(gateway.settings.borrow().store);
     let mut health = StoreHealth::new(table_of(feed));
     let mut must_read = false;
     loop {
-        let feeds = &gateway.feeds;
-        let since = feeds.with(feed, |copy| copy.seen_until());
-        let source = feeds.take_behind(feed);
-        let watches = watches(&gateway, feed);
-        if !watches && source.is_none() {
-            let news = feeds.news.notified();
-            tokio::select! {
-                () = news => {}
-                () = actix_rt::time::sleep(ROLE_INTERVAL) => {}
-            }
+        if !watches(&gateway, feed) {
+            actix_rt::time::sleep(ROLE_INTERVAL).await;
             continue;
         }
-        let wait = if source.is_some() {
-            Duration::ZERO
-        } else {
-            WATCH_WAIT
-        };
-        let result = match since {
-            Some(version) if !must_read => store
-                .watch_table(table_of(feed), version, wait)
-                .await
-                .map(|rows| (rows, false)),
-            _ => store
-                .read_table(table_of(feed))
-                .await
-                .map(|rows| (rows, true)),
-        };
-        match result {
+        match read_store(&gateway, &mut store, feed, WATCH_WAIT, must_read).await {
             Ok((rows, is_whole)) => {
                 let after_outage = health.is_lost();
                 health.note_answer();
                 must_read = false;
                 take_rows(&gateway, feed, rows, is_whole, after_outage);
-                if watches {
-                    peers::announce_watcher(&gateway);
-                }
+                peers::announce_watcher(&gateway);
             }
             Err(StoreError::HistoryGone) => must_read = true,
-            Err(error) => {
-                if let Some(source) = source {
-                    peers::fetch_feed(&gateway, source, feed).await;
-                }
-                health.note_failure(&error).await;
-            }
+            Err(error) => health.note_failure(&error).await,
+        }
+    }
+}
+
+/// Reads changes of a table, or all of it if none is known; says which.
+async fn read_store(
+    gateway: &Gateway,
+    store: &mut StoreClient,
+    feed: Feed,
+    wait: Duration,
+    must_read: bool,
+) -> Result<(Rows, bool), StoreError> {
+    let table = table_of(feed);
+    let since = gateway.feeds.with(feed, |copy| copy.seen_until());
+    match since {
+        Some(version) if !must_read => {
+            let rows = store.watch_table(table, version, wait).await?;
+            Ok((rows, false))
+        }
+        _ => Ok((store.read_table(table).await?, true)),
+    }
+}
+
+/// Learns what other VMs know of a table and this one does not.
+pub(super) async fn catch_up(gateway: Rc<Gateway>, feed: Feed) {
+    let mut store = StoreClient::new(gateway.settings.borrow().store);
+    loop {
+        let news = gateway.feeds.news.notified();
+        if gateway.feeds.is_behind(feed).is_none() {
+            news.await;
+        }
+        actix_rt::time::sleep(PUSH_TIME + jitter(rand::random(), PUSH_TIME)).await;
+        let Some(source) = gateway.feeds.is_behind(feed) else {
+            continue;
+        };
+        peers::fetch_feed(&gateway, source, feed).await;
+        if gateway.feeds.is_behind(feed).is_none() {
+            continue;
+        }
+        match read_store(&gateway, &mut store, feed, Duration::ZERO, false).await {
+            Ok((rows, is_whole)) => take_rows(&gateway, feed, rows, is_whole, false),
+            Err(error) => log::debug!("{}: not caught up: {error}", table_of(feed)),
         }
     }
 }
