fix(core): remember rows that came and went unseen

Ruled out: lost datagrams, the processor (seen without processor time), waiting long polls (catching up has a task of its own). Change: removals of unknown rows are kept and told. Test: removals_of_unseen_rows_travel, which failed before.

--- a/crates/verbenahinge-core/src/gateway/feed.rs
+++ b/crates/verbenahinge-core/src/gateway/feed.rs
@@ -224,22 +224,21 @@
     }
 
     fn store(&mut self, version: u64, row: FeedRow, news: &mut Vec<FeedRow>) {
-        let old = self.rows.get(&row.key).map(|old| &old.state);
-        let is_news = match (old, &row.state) {
-            (Some(old), state) => old != state,
-            (None, RowState::Present(_)) => true,
-            (None, RowState::Removed | RowState::Lapsed) => false,
-        };
         self.changed_at = self.changed_at.max(version);
-        if !is_news {
+        let old = self.rows.get(&row.key).map(|old| &old.state);
+        if old == Some(&row.state) {
             return;
         }
+        // A row that came and went unseen is remembered, since others may have seen it come.
+        let was_unknown = old.is_none() && !matches!(row.state, RowState::Present(_));
         let copied = CopiedRow {
             version,
             state: row.state.clone(),
         };
         self.rows.insert(row.key.clone(), copied);
-        news.push(row);
+        if !was_unknown {
+            news.push(row);
+        }
         if self.rows.len() > REMOVED_LIMIT {
             self.rows
                 .retain(|_, row| matches!(row.state, RowState::Present(_)));
--- a/crates/verbenahinge-core/tests/table_copies.rs
+++ b/crates/verbenahinge-core/tests/table_copies.rs
@@ -51,6 +51,21 @@
     );
 }
 
+#[test]
+fn removals_of_unseen_rows_travel() {
+    // One watcher saw the row come, another one saw it come and go in one answer.
+    let mut first = copy();
+    first.take_changes(NOW, 30, vec![row("b", 28, Some("2"))], false);
+    let mut second = copy();
+    let base = second.changed_at();
+    second.take_changes(NOW, 40, vec![row("b", 28, None)], false);
+    let delta = second.delta_since(base).expect("a change");
+    assert_eq!(
+        first.take_delta(&delta),
+        Some(vec![gone("b", RowState::Removed)])
+    );
+}
+
 #[test]
 fn deltas_with_a_gap_are_left_out() {
     let mut watcher = copy();
