feat(gateway): gather the load of each server at one VM and ask for it

Ruled out: digests from all to all (70,000 datagrams a second). Change: above 16 VMs the load of each server is told to one VM, the same on all by rendezvous hashing, and asked for at placement, first for three engines.

--- a/crates/verbenahinge-core/src/gateway/backend.rs
+++ b/crates/verbenahinge-core/src/gateway/backend.rs
@@ -28,6 +28,9 @@
 /// Time after which a VM that sent no digest is taken not to load the server any more.
 const PEER_TTL: Duration = Duration::from_millis(2500);
 
+/// Time after which gathered load is too old to go by; engines read several prompts in it.
+const TOLD_TTL: Duration = Duration::from_millis(500);
+
 /// Time after which a part that was not used again is taken to be evicted.
 const PART_TTL: Duration = Duration::from_secs(40);
 
@@ -98,6 +101,17 @@
     pub report: Option<LoadReport>,
 }
 
+impl PeerLoad {
+    fn add(&mut self, other: &Self) {
+        self.running += other.running;
+        self.interactive += other.interactive;
+        self.memory_tokens = self.memory_tokens.saturating_add(other.memory_tokens);
+        for (&priority, &reading) in &other.reading {
+            self.reading.entry(priority).or_default().add(reading);
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct PeerState {
     load: PeerLoad,
@@ -120,6 +134,7 @@
 pub struct Backend {
     in_flight: BTreeMap<CallId, InFlight>,
     peers: BTreeMap<VmId, PeerState>,
+    told: Option<PeerState>,
     read_rate: f64,
     cached: BTreeMap<PartId, Timestamp>,
     report: Option<(Timestamp, LoadReport)>,
@@ -144,6 +159,7 @@
         Self {
             in_flight: BTreeMap::new(),
             peers: BTreeMap::new(),
+            told: None,
             read_rate: READ_RATE_START,
             cached: BTreeMap::new(),
             report: None,
@@ -306,6 +322,25 @@
         self.peers.insert(vm, PeerState { load, seen: now });
     }
 
+    /// Takes in the load of all other VMs, as the VM that gathers it for this server tells it.
+    pub fn note_gathered(&mut self, now: Timestamp, load: PeerLoad) {
+        if let Some(report) = load.report {
+            self.report = Some((now, report));
+        }
+        self.told = Some(PeerState { load, seen: now });
+    }
+
+    /// Load of all VMs but one, for that one to know.
+    #[must_use]
+    pub fn gathered_for(&self, vm: VmId) -> PeerLoad {
+        let mut total = self.own_load();
+        for (_, peer) in self.peers.iter().filter(|(id, _)| **id != vm) {
+            total.add(&peer.load);
+        }
+        total.report = self.report.map(|(_, report)| report);
+        total
+    }
+
     /// Drops the load of a VM that has ended.
     pub fn forget_peer(&mut self, vm: VmId) {
         self.peers.remove(&vm);
@@ -314,10 +349,17 @@
     /// Drops the load of VMs that have fallen silent.
     pub fn expire_peers(&mut self, now: Timestamp) {
         self.peers.retain(|_, peer| peer.seen + PEER_TTL > now);
+        self.told.take_if(|told| told.seen + TOLD_TTL <= now);
+    }
+
+    /// Loads of other VMs: what was gathered, or else what each of them told.
+    fn others(&self) -> impl Iterator<Item = &PeerLoad> {
+        let peers = self.peers.values().filter(|_| self.told.is_none());
+        self.told.iter().chain(peers).map(|state| &state.load)
     }
 
     fn peers_total(&self, field: impl Fn(&PeerLoad) -> u32) -> u32 {
-        self.peers.values().map(|peer| field(&peer.load)).sum()
+        self.others().map(field).sum()
     }
 
     fn own_reading(&self) -> BTreeMap<u8, Reading> {
@@ -338,8 +380,8 @@
         for (_, &reading) in self.own_reading().range(..=priority) {
             total.add(reading);
         }
-        for peer in self.peers.values() {
-            for (_, &reading) in peer.load.reading.range(..=priority) {
+        for load in self.others() {
+            for (_, &reading) in load.reading.range(..=priority) {
                 total.add(reading);
             }
         }
--- a/crates/verbenahinge-core/src/gateway/state.rs
+++ b/crates/verbenahinge-core/src/gateway/state.rs
@@ -237,6 +237,34 @@
         tried: &[ServerName],
     ) -> Result<Choice, NoChoice> {
         self.size_lane(now, call);
+        let candidates = self.candidates(call, tried);
+        self.placement(now, &call.service).choose(call, &candidates)
+    }
+
+    /// Chooses for a call among some backend servers, whose load was asked for.
+    ///
+    /// # Errors
+    ///
+    /// Returns why none of them is of use.
+    pub fn place_among(
+        &self,
+        now: Timestamp,
+        call: &Call,
+        asked: &[ServerName],
+    ) -> Result<Choice, NoChoice> {
+        let mut candidates = self.candidates(call, &[]);
+        candidates.retain(|candidate| asked.contains(&candidate.entry.id));
+        self.placement(now, &call.service).choose(call, &candidates)
+    }
+
+    /// Engines that a call should be placed on, the best first, by its prompt alone.
+    pub fn rank(&mut self, now: Timestamp, call: &Call, tried: &[ServerName]) -> Vec<ServerName> {
+        self.size_lane(now, call);
+        let candidates = self.candidates(call, tried);
+        self.placement(now, &call.service).rank(call, &candidates)
+    }
+
+    fn candidates<'a>(&'a self, call: &'a Call, tried: &[ServerName]) -> Vec<Candidate<'a>> {
         let mut candidates = Vec::new();
         for entry in self.registry.ready(&call.service) {
             if tried.contains(&entry.id) {
@@ -246,7 +274,37 @@
                 candidates.push(Candidate { entry, backend });
             }
         }
-        self.placement(now, &call.service).choose(call, &candidates)
+        candidates
+    }
+
+    /// Load that all VMs but one put on a server; `None` if the server is not known.
+    #[must_use]
+    pub fn gathered_for(&self, vm: VmId, server: u64) -> Option<ServerDigest> {
+        let backend = self.backends.get(self.names.get(&server)?)?;
+        Some(ServerDigest {
+            server,
+            load: backend.gathered_for(vm),
+        })
+    }
+
+    /// Takes in the load that another VM has gathered for a server.
+    pub fn note_gathered(&mut self, now: Timestamp, digest: ServerDigest) {
+        let Some(name) = self.names.get(&digest.server) else {
+            return;
+        };
+        if let Some(backend) = self.backends.get_mut(name) {
+            backend.note_gathered(now, digest.load);
+        }
+    }
+
+    /// Load that this VM puts on one server.
+    #[must_use]
+    pub fn own_load(&self, server: &str) -> Option<ServerDigest> {
+        let backend = self.backends.get(server)?;
+        Some(ServerDigest {
+            server: hash64(server.as_bytes()),
+            load: backend.own_load(),
+        })
     }
 
     /// Adapts the number of engines that are kept for interactive streams to the demand.
--- a/crates/verbenahinge/src/gateway/flight.rs
+++ b/crates/verbenahinge/src/gateway/flight.rs
@@ -13,12 +13,18 @@
 use super::Gateway;
 use super::answer::{AnswerBody, CallerAnswer, own_answer};
 use super::attempt::{AttemptError, CallerRequest, InFlight, WholeAnswer, plain_patience};
-use super::relay;
+use super::{peers, relay};
 use crate::event_log::LogEvent;
 
 /// Time after which a caller is asked to come back when no server can be used.
 const NO_SERVER_PAUSE: Duration = Duration::from_millis(400);
 
+/// Servers whose load is asked for at first; of three, one is mostly free enough.
+const ASKED_SERVERS: usize = 3;
+
+/// Times that the load of more servers is asked for.
+const ASK_ROUNDS: usize = 3;
+
 /// Time kept back from the time limit for the final answer.
 pub(crate) const ANSWER_MARGIN: Duration = Duration::from_millis(20);
 
@@ -88,10 +94,30 @@
     }
 
     /// Picks a server for the next attempt.
-    pub(crate) fn place(&self) -> Result<Choice, NoChoice> {
+    ///
+    /// Where VMs are too many for each to know the load of all servers, it is asked for, first
+    /// for the few that suit the prompt best, then for a few more.
+    pub(crate) async fn place(&self) -> Result<Choice, NoChoice> {
         let now = self.gateway.now();
-        let mut state = self.gateway.state.borrow_mut();
-        state.place(now, &self.call, &self.tried)
+        if self.call.prompt.is_none() || !self.gateway.peers.is_large(now) {
+            let mut state = self.gateway.state.borrow_mut();
+            return state.place(now, &self.call, &self.tried);
+        }
+        let ranked = {
+            let mut state = self.gateway.state.borrow_mut();
+            state.rank(now, &self.call, &self.tried)
+        };
+        let mut result = Err(NoChoice::NoServer);
+        for round in 1..=ASK_ROUNDS {
+            let asked = &ranked[..ranked.len().min(round * ASKED_SERVERS)];
+            peers::ask_load(&self.gateway, asked).await;
+            let state = self.gateway.state.borrow();
+            result = state.place_among(self.gateway.now(), &self.call, asked);
+            if result.is_ok() {
+                break;
+            }
+        }
+        result
     }
 
     /// Takes note that an attempt begins.
@@ -99,7 +125,9 @@
         self.sends += 1;
         self.expected = Some((choice.expected_wait, choice.read_cost));
         self.tried.push(choice.server.clone());
-        InFlight::new(&self.gateway, &self.call, choice)
+        let in_flight = InFlight::new(&self.gateway, &self.call, choice);
+        peers::tell_load(&self.gateway, &choice.server);
+        in_flight
     }
 
     pub(crate) fn note_first_event(&mut self, server: &str) {
@@ -165,7 +193,7 @@
     /// Serves a request of a plain service.
     pub(crate) async fn serve_plain(mut self) -> CallerAnswer {
         loop {
-            let choice = match self.place() {
+            let choice = match self.place().await {
                 Ok(choice) => choice,
                 Err(reason) => return self.refuse(reason),
             };
--- a/crates/verbenahinge/src/gateway/peer_message.rs
+++ b/crates/verbenahinge/src/gateway/peer_message.rs
@@ -25,6 +25,15 @@
     /// Addresses of some VMs that the sender heard of.
     #[prost(fixed32, repeated, tag = "6")]
     pub(super) members: Vec<u32>,
+    /// Servers whose gathered load the sender asks for.
+    #[prost(fixed64, repeated, tag = "9")]
+    pub(super) asked: Vec<u64>,
+    /// Number of the question that is asked, or answered by `gathered`.
+    #[prost(uint64, tag = "10")]
+    pub(super) question: u64,
+    /// Load that the sender has gathered for the servers that it was asked about.
+    #[prost(message, repeated, tag = "11")]
+    pub(super) gathered: Vec<ServerMessage>,
     /// Whether the sender is about to end.
     #[prost(bool, tag = "7")]
     pub(super) is_leaving: bool,
@@ -191,7 +200,7 @@
             crashes,
             feeds,
             members,
-            is_leaving: false,
+            ..Self::default()
         }
     }
 
@@ -214,7 +223,7 @@
     }
 }
 
-fn encode_server(digest: ServerDigest) -> ServerMessage {
+pub(super) fn encode_server(digest: ServerDigest) -> ServerMessage {
     let load = digest.load;
     let mut reading = Vec::new();
     for (priority, class) in load.reading {
@@ -237,7 +246,7 @@
     }
 }
 
-fn decode_server(message: ServerMessage) -> ServerDigest {
+pub(super) fn decode_server(message: ServerMessage) -> ServerDigest {
     let mut reading = BTreeMap::new();
     for class in message.reading {
         let Ok(priority) = u8::try_from(class.priority) else {
--- a/crates/verbenahinge/src/gateway/peers.rs
+++ b/crates/verbenahinge/src/gateway/peers.rs
@@ -15,14 +15,16 @@
 use prost::Message as _;
 use strum::IntoEnumIterator;
 use tokio::net::UdpSocket;
-use verbenahinge_core::Timestamp;
-use verbenahinge_core::gateway::{Feed, ServerDigest};
-use verbenahinge_core::hash::mix64;
+use tokio::sync::oneshot;
+use verbenahinge_core::gateway::{Feed, PeerDigest, ServerDigest};
+use verbenahinge_core::hash::{hash64, mix64};
+use verbenahinge_core::{ServerName, Timestamp};
 use verbenahinge_platform::node_file::VmSettings;
 
 use super::control::FEED_PATH;
 use super::peer_message::{
-    DeltaMessage, FeedMessage, PeerMessage, feed_number, feed_of, pack_ip, unpack_ip,
+    DeltaMessage, FeedMessage, PeerMessage, decode_server, encode_server, feed_number, feed_of,
+    pack_ip, unpack_ip,
 };
 use super::{Gateway, watch};
 use crate::event_log::LogEvent;
@@ -46,6 +48,15 @@
 /// VMs that a VM sends its digests to at most.
 const FANOUT: usize = 16;
 
+/// Rounds after which VMs that are many tell each other what they know of the store.
+const GOSSIP_EVERY: u32 = 3;
+
+/// Time within which another VM tells gathered load; a few times the way there and back.
+const ANSWER_TIME: Duration = Duration::from_millis(15);
+
+/// Time for which a VM that did not tell gathered load is not asked again.
+const SLOW_TIME: Duration = Duration::from_secs(1);
+
 /// Largest datagram.
 const DATAGRAM_BYTES: usize = 16 << 10;
 
@@ -77,6 +88,15 @@
     own_ip: IpAddr,
     members: RefCell<BTreeMap<IpAddr, Member>>,
     is_announced: Cell<bool>,
+    next_question: Cell<u64>,
+    questions: RefCell<BTreeMap<u64, Question>>,
+    slow: RefCell<BTreeMap<IpAddr, Timestamp>>,
+}
+
+/// A question to other VMs that is not answered by all of them yet.
+struct Question {
+    open: usize,
+    done: Option<oneshot::Sender<()>>,
 }
 
 impl Peers {
@@ -92,6 +112,9 @@
             own_ip: settings.ip,
             members: RefCell::default(),
             is_announced: Cell::new(false),
+            next_question: Cell::new(0),
+            questions: RefCell::default(),
+            slow: RefCell::default(),
         };
         for seed in &settings.seeds {
             peers.add(Duration::ZERO, seed.ip());
@@ -167,6 +190,30 @@
         receivers
     }
 
+    /// Says whether there are too many VMs for each to tell each other one its load.
+    pub(crate) fn is_large(&self, now: Timestamp) -> bool {
+        let members = self.members.borrow();
+        members
+            .values()
+            .filter(|member| member.is_live(now))
+            .count()
+            > FANOUT
+    }
+
+    /// VM that gathers the load of a server, the same on all VMs; `None` if it is this one.
+    fn gatherer(&self, now: Timestamp, server: u64) -> Option<IpAddr> {
+        let weight = |ip: IpAddr| mix64(server, u64::from(pack_ip(ip).unwrap_or(0)));
+        let mut best = (weight(self.own_ip), None);
+        let slow = self.slow.borrow();
+        for (&ip, member) in self.members.borrow().iter() {
+            let is_slow = slow.get(&ip).is_some_and(|until| *until > now);
+            if !is_slow && member.is_live(now) && weight(ip) > best.0 {
+                best = (weight(ip), Some(ip));
+            }
+        }
+        best.1
+    }
+
     fn all(&self) -> Vec<IpAddr> {
         self.members.borrow().keys().copied().collect()
     }
@@ -234,7 +281,12 @@
         for server in &digest.servers {
             last.insert(server.server, server.clone());
         }
-        if digest.servers.is_empty() && !is_full {
+        if gateway.peers.is_large(now) {
+            tell_gatherers(&gateway, now, std::mem::take(&mut digest.servers)).await;
+            if !round.is_multiple_of(GOSSIP_EVERY) {
+                continue;
+            }
+        } else if digest.servers.is_empty() && !is_full {
             continue;
         }
         let members = if is_full {
@@ -248,6 +300,114 @@
     }
 }
 
+/// Tells the load on each server to the VM that gathers it.
+async fn tell_gatherers(gateway: &Gateway, now: Timestamp, servers: Vec<ServerDigest>) {
+    let mut by_vm: BTreeMap<IpAddr, Vec<ServerDigest>> = BTreeMap::new();
+    for server in servers {
+        if let Some(ip) = gateway.peers.gatherer(now, server.server) {
+            by_vm.entry(ip).or_default().push(server);
+        }
+    }
+    for (ip, servers) in by_vm {
+        let digest = PeerDigest {
+            servers,
+            ..gateway.state.borrow().own_digest(now)
+        };
+        let message = PeerMessage::new(digest, Vec::new(), Vec::new());
+        gateway.peers.send(&message, &[ip]).await;
+    }
+}
+
+/// Tells the load on one server to the VM that gathers it, right after it has changed.
+pub(super) fn tell_load(gateway: &Rc<Gateway>, server: &str) {
+    let now = gateway.now();
+    if !gateway.peers.is_large(now) {
+        return;
+    }
+    let load = gateway.state.borrow().own_load(server);
+    let gateway = Rc::clone(gateway);
+    actix_rt::spawn(async move {
+        tell_gatherers(&gateway, now, load.into_iter().collect()).await;
+    });
+}
+
+/// Asks the VMs that gather the load of some servers for it, and waits a moment for answers.
+pub(super) async fn ask_load(gateway: &Gateway, servers: &[ServerName]) {
+    let now = gateway.now();
+    let mut by_vm: BTreeMap<IpAddr, Vec<u64>> = BTreeMap::new();
+    for server in servers {
+        let hash = hash64(server.as_bytes());
+        if let Some(ip) = gateway.peers.gatherer(now, hash) {
+            by_vm.entry(ip).or_default().push(hash);
+        }
+    }
+    if by_vm.is_empty() {
+        return;
+    }
+    let peers = &gateway.peers;
+    let question = peers.next_question.get() + 1;
+    peers.next_question.set(question);
+    let (done, answered) = oneshot::channel();
+    let open = by_vm.len();
+    let asked: Vec<IpAddr> = by_vm.keys().copied().collect();
+    peers.questions.borrow_mut().insert(
+        question,
+        Question {
+            open,
+            done: Some(done),
+        },
+    );
+    for (ip, servers) in by_vm {
+        let digest = gateway.state.borrow().own_digest(now);
+        let mut message = PeerMessage::new(digest, Vec::new(), Vec::new());
+        message.asked = servers;
+        message.question = question;
+        peers.send(&message, &[ip]).await;
+    }
+    let in_time = actix_rt::time::timeout(ANSWER_TIME, answered).await;
+    peers.questions.borrow_mut().remove(&question);
+    if let ([only], true) = (asked.as_slice(), in_time.is_err()) {
+        peers.slow.borrow_mut().insert(*only, now + SLOW_TIME);
+    }
+}
+
+fn take_question(gateway: &Rc<Gateway>, from: IpAddr, message: &mut PeerMessage) {
+    let now = gateway.now();
+    let question = message.question;
+    for server in std::mem::take(&mut message.gathered) {
+        gateway
+            .state
+            .borrow_mut()
+            .note_gathered(now, decode_server(server));
+    }
+    if message.asked.is_empty() {
+        let mut questions = gateway.peers.questions.borrow_mut();
+        if let Some(waiting) = questions.get_mut(&question) {
+            waiting.open = waiting.open.saturating_sub(1);
+            if waiting.open == 0
+                && let Some(done) = waiting.done.take()
+                && done.send(()).is_err()
+            {
+                log::debug!("question {question} was given up");
+            }
+        }
+        return;
+    }
+    let mut answer = {
+        let state = gateway.state.borrow();
+        let mut answer = PeerMessage::new(state.own_digest(now), Vec::new(), Vec::new());
+        for server in std::mem::take(&mut message.asked) {
+            if let Some(digest) = state.gathered_for(message.vm, server) {
+                answer.gathered.push(encode_server(digest));
+            }
+        }
+        answer
+    };
+    answer.question = question;
+    let gateway = Rc::clone(gateway);
+    actix_rt::spawn(async move { gateway.peers.send(&answer, &[from]).await });
+}
+
 /// Tells all VMs at once that a table has changed.
 pub(super) fn push_news(gateway: &Rc<Gateway>, feed: Feed, base: Option<u64>) {
     let mut feeds = feed_messages(gateway);
@@ -332,6 +492,9 @@
     for feed in std::mem::take(&mut message.feeds) {
         take_feed(gateway, from, feed);
     }
+    if message.question > 0 {
+        take_question(gateway, from, &mut message);
+    }
     gateway
         .state
         .borrow_mut()
--- a/crates/verbenahinge/src/gateway/relay.rs
+++ b/crates/verbenahinge/src/gateway/relay.rs
@@ -177,7 +177,7 @@
 /// Serves a request whose answer is a stream of events.
 pub(super) async fn serve(mut flight: Flight) -> CallerAnswer {
     loop {
-        let choice = match flight.place() {
+        let choice = match flight.place().await {
             Ok(choice) => choice,
             Err(reason) => return flight.refuse(reason),
         };
@@ -322,7 +322,7 @@
                 Next::Retry if self.flight.call.route.resumable => {}
                 Next::Retry | Next::GiveUp(_) => return false,
             }
-            let Ok(choice) = self.flight.place() else {
+            let Ok(choice) = self.flight.place().await else {
                 return false;
             };
             server = choice.server.clone();
