fix(core): place a request where it is on time, not only where it is cheapest

Cause: a test of the placement (hot_subjects_spill_when_their_engine_is_late) failed first: the cheapest engine decided alone, and a request was refused as too late while another engine would have had it on time. Memory counted shared parts once for each request, and urgent requests found no place behind less urgent ones. Change: engines that would be too late are left out before the cost decides; cached parts count once; slots are counted up to the request's own priority; above 16 VMs the load of three engines is asked for, once.

--- a/crates/verbenahinge-core/src/gateway/backend.rs
+++ b/crates/verbenahinge-core/src/gateway/backend.rs
@@ -60,10 +60,12 @@
     pub slots: u32,
 }
 
-/// Prompts that an engine reads or has yet to read.
+/// Requests of one priority at an engine, and what it has yet to read of their prompts.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Reading {
-    /// Number of prompts.
+    /// Requests in flight.
+    pub running: u32,
+    /// Those among them without a first token.
     pub prompts: u32,
     /// Cost of reading them, in tokens.
     pub tokens: u32,
@@ -81,6 +83,7 @@
     }
 
     const fn add(&mut self, other: Self) {
+        self.running += other.running;
         self.prompts += other.prompts;
         self.tokens = self.tokens.saturating_add(other.tokens);
     }
@@ -95,7 +98,7 @@
     pub interactive: u32,
     /// Tokens that its requests hold in memory.
     pub memory_tokens: u32,
-    /// Prompts that have not given a first token yet, by priority.
+    /// Requests and what is yet to be read of them, by priority.
     pub reading: BTreeMap<u8, Reading>,
     /// Load that the server told it last, if that was since the digest before.
     pub report: Option<LoadReport>,
@@ -199,11 +202,13 @@
 
     /// Takes note of a request that is sent to the server.
     pub fn note_sent(&mut self, now: Timestamp, call: &Call, read_cost: f64, interactive: bool) {
+        let read_tokens = to_tokens(read_cost);
         let priority = call.priority();
         let read_ahead = self.read_ahead(priority) + read_cost;
         let mut memory_tokens = 0;
         if let Some(prompt) = &call.prompt {
-            memory_tokens = prompt.prompt_tokens + prompt.max_output_tokens / 2;
+            // Cached parts are shared and do not count again.
+            memory_tokens = read_tokens.min(prompt.prompt_tokens) + prompt.max_output_tokens / 2;
             for part in &prompt.parts {
                 self.cached.insert(part.id, now);
             }
@@ -212,7 +217,7 @@
         let request = InFlight {
             sent: now,
             priority,
-            read_tokens: to_tokens(read_cost),
+            read_tokens,
             read_ahead,
             memory_tokens,
             reading: true,
@@ -364,18 +369,18 @@
 
     fn own_reading(&self) -> BTreeMap<u8, Reading> {
         let mut reading: BTreeMap<u8, Reading> = BTreeMap::new();
-        for request in self.in_flight.values().filter(|request| request.reading) {
+        for request in self.in_flight.values() {
+            let is_reading = u32::from(request.reading);
             reading.entry(request.priority).or_default().add(Reading {
-                prompts: 1,
-                tokens: request.read_tokens,
+                running: 1,
+                prompts: is_reading,
+                tokens: request.read_tokens * is_reading,
             });
         }
         reading
     }
 
-    /// Tokens that are read before those of a new request of the given priority.
-    #[must_use]
-    pub fn read_ahead(&self, priority: u8) -> f64 {
+    fn reading_until(&self, priority: u8) -> Reading {
         let mut total = Reading::default();
         for (_, &reading) in self.own_reading().range(..=priority) {
             total.add(reading);
@@ -385,7 +390,19 @@
                 total.add(reading);
             }
         }
-        total.left()
+        total
+    }
+
+    /// Requests in flight that are as urgent as the given priority or more, of all VMs.
+    #[must_use]
+    pub fn running_until(&self, priority: u8) -> u32 {
+        self.reading_until(priority).running
+    }
+
+    /// Tokens that are read before those of a new request of the given priority.
+    #[must_use]
+    pub fn read_ahead(&self, priority: u8) -> f64 {
+        self.reading_until(priority).left()
     }
 
     /// Tokens that wait to be read, of all priorities.
--- a/crates/verbenahinge-core/src/gateway/placement.rs
+++ b/crates/verbenahinge-core/src/gateway/placement.rs
@@ -40,6 +40,9 @@
 /// Cost of a place where running requests would be preempted or wait for a slot.
 const FULL_COST: f64 = 4.0;
 
+/// Places beyond the slots that urgent requests may wait for, as a part of the slots.
+const URGENT_SLOTS_PART: u32 = 4;
+
 /// Part of the target that the wait may take before it costs.
 const WAIT_FREE: f64 = 0.6;
 
@@ -215,33 +218,30 @@
         let interactive = self.is_interactive(call);
         let lane = self.interactive_lane(candidates);
         let home = home_of(call, candidates, &lane, interactive);
+        let admitted_wait = self.admitted_wait(call);
         let mut best: Option<(f64, Choice)> = None;
-        let mut least_wait: Option<Duration> = None;
+        let mut least_wait = Duration::MAX;
         for candidate in candidates {
             let in_lane = lane.contains(&candidate.entry.id) == interactive;
             let is_home = home.as_ref() == Some(&candidate.entry.id);
             let (mut cost, choice) =
                 self.engine_cost(call, candidate, engine, interactive, is_home);
+            least_wait = least_wait.min(choice.expected_wait);
+            if choice.expected_wait > admitted_wait {
+                continue;
+            }
             if !in_lane {
                 cost += LANE_COST;
             }
-            least_wait = Some(least_wait.map_or(choice.expected_wait, |least| {
-                least.min(choice.expected_wait)
-            }));
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, choice));
             }
         }
-        let (Some((cost, choice)), Some(least_wait)) = (best, least_wait) else {
-            return Err(NoChoice::NoServer);
-        };
-        if cost >= FULL_COST {
-            return Err(NoChoice::Full);
-        }
-        if choice.expected_wait > self.admitted_wait(call) {
-            return Err(NoChoice::TooLate(least_wait));
+        match best {
+            Some((cost, choice)) if cost < FULL_COST => Ok(choice),
+            Some(_) => Err(NoChoice::Full),
+            None => Err(NoChoice::TooLate(least_wait)),
         }
-        Ok(choice)
     }
 
     /// Longest wait for the first event with which a call is admitted.
@@ -299,7 +299,10 @@
         let slots = candidate.entry.slots.max(1);
         let memory = f64::from(backend.memory_tokens());
         let capacity = f64::from(u32::try_from(engine.memory_tokens).unwrap_or(u32::MAX));
-        if running >= slots || (running > 0 && memory > capacity * MEMORY_PART) {
+        // Urgent requests are begun before others that wait for a slot.
+        let no_slot = backend.running_until(call.priority()) >= slots
+            || running >= slots.saturating_add(slots / URGENT_SLOTS_PART);
+        if no_slot || (running > 0 && memory > capacity * MEMORY_PART) {
             cost += FULL_COST;
         }
         // Spreads interactive streams over their engines.
--- a/crates/verbenahinge-core/src/gateway/routing.rs
+++ b/crates/verbenahinge-core/src/gateway/routing.rs
@@ -80,7 +80,7 @@
             .iter()
             .map(|share| u64::from(share.weight))
             .sum();
-        let mut left = mix64(seed, 0x7368_6172_65) % total.max(1);
+        let mut left = mix64(seed, 0x0073_6861_7265) % total.max(1);
         for share in &self.shares {
             let weight = u64::from(share.weight);
             if left < weight {
--- /dev/null
+++ b/crates/verbenahinge-core/tests/prompt_placement.rs
@@ -0,0 +1,252 @@
+//! Where requests go and when they are turned away, on the load patterns that bind the engines.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use verbenahinge_core::gateway::{
+    Bounds, Call, EngineLimits, GatewayState, NoChoice, Prompt, PromptPart, Route, RouteKind,
+    Routing, ServerEntry, ServerState, Service, Share,
+};
+use verbenahinge_core::{FailureKind, Timestamp};
+
+const ENGINES: usize = 8;
+const SHARED_TOKENS: u32 = 13_000;
+const OWN_TOKENS: u32 = 3_700;
+
+fn bounds() -> Bounds {
+    Bounds {
+        shutdown_grace: Duration::from_secs(8),
+        drain: Duration::from_secs(2),
+        config_apply: Duration::from_secs(2),
+        retry_ratio: 0.2,
+        retry_slack: 60.0,
+        retry_window: Duration::from_secs(10),
+    }
+}
+
+fn route(name: &str, priority: u8, target_ms: u64, gap_ms: u64) -> Arc<Route> {
+    Arc::new(Route {
+        name: name.into(),
+        kind: RouteKind::Stream,
+        timeout: Duration::from_secs(12),
+        target: Duration::from_millis(target_ms),
+        gap_target: Some(Duration::from_millis(gap_ms)),
+        priority,
+        shares: vec![Share {
+            service: "engines".into(),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        public: true,
+        resumable: true,
+    })
+}
+
+fn long_prompt() -> Arc<Route> {
+    route("long", 2, 2000, 600)
+}
+
+fn short_stream() -> Arc<Route> {
+    route("short", 0, 400, 150)
+}
+
+fn call(id: u64, route: &Arc<Route>, now: Timestamp, parts: &[(u64, u32)]) -> Call {
+    let parts: Vec<PromptPart> = parts
+        .iter()
+        .map(|&(id, tokens)| PromptPart { id, tokens })
+        .collect();
+    Call {
+        id,
+        route: Arc::clone(route),
+        service: "engines".into(),
+        account: None,
+        prompt: Some(Prompt {
+            prompt_tokens: parts.iter().map(|part| part.tokens).sum(),
+            parts,
+            max_output_tokens: 120,
+        }),
+        fingerprint: id,
+        arrived: now,
+        deadline: now + route.timeout,
+    }
+}
+
+fn long_call(id: u64, subject: u64, now: Timestamp) -> Call {
+    let parts = [(subject, SHARED_TOKENS), (1_000_000 + id, OWN_TOKENS)];
+    call(id, &long_prompt(), now, &parts)
+}
+
+fn short_call(id: u64, now: Timestamp) -> Call {
+    let parts = [(500 + id % 20, 350), (2_000_000 + id, 1_100)];
+    call(id, &short_stream(), now, &parts)
+}
+
+fn state() -> GatewayState {
+    let mut state = GatewayState::new(1, "a".into(), bounds());
+    let mut routing = Routing::new(1);
+    routing.services.insert(
+        "engines".into(),
+        Service {
+            max_connections: 370,
+            engine: Some(EngineLimits {
+                slots: 64,
+                memory_tokens: 580_000,
+                tokens_per_event: 3,
+            }),
+        },
+    );
+    state.adopt_routing(routing);
+    for index in 0..ENGINES {
+        let port = 9000 + u16::try_from(index).expect("few engines");
+        state.upsert_server(ServerEntry {
+            id: format!("engine-{index}").into(),
+            service: "engines".into(),
+            address: ([127, 0, 0, 1], port).into(),
+            availability_zone: "a".into(),
+            slots: 64,
+            state: ServerState::Ready,
+            warm_up: Duration::ZERO,
+            started_unix_ms: None,
+        });
+    }
+    state.complete_registry();
+    state
+}
+
+/// Sends a call and returns the engine that it went to.
+fn send(state: &mut GatewayState, now: Timestamp, call: &Call) -> String {
+    state.note_arrival(now, call);
+    let choice = state.place(now, call, &[]).expect("a place");
+    state.note_sent(now, call, &choice);
+    choice.server.to_string()
+}
+
+#[test]
+fn equal_subjects_meet_at_one_engine() {
+    let mut state = state();
+    let mut homes = Vec::new();
+    for id in 0..20 {
+        let now = Duration::from_millis(400 * id);
+        let call = long_call(id, 7, now);
+        let server = send(&mut state, now, &call);
+        state.note_first_token(now + Duration::from_millis(120), call.id, &server);
+        state.note_ended(call.id, &server);
+        homes.push(server);
+    }
+    homes.dedup();
+    assert_eq!(homes.len(), 1, "{homes:?}");
+}
+
+#[test]
+fn short_streams_stay_off_long_reads() {
+    let mut state = state();
+    let now = Duration::from_secs(1);
+    let mut long_homes = Vec::new();
+    for id in 0..10 {
+        long_homes.push(send(&mut state, now, &long_call(id, id, now)));
+    }
+    for id in 100..108 {
+        let server = send(&mut state, now, &short_call(id, now));
+        assert!(!long_homes.contains(&server), "{server} reads long prompts");
+    }
+}
+
+#[test]
+fn hot_subjects_spill_when_their_engine_is_late() {
+    let mut state = state();
+    let now = Duration::from_secs(1);
+    let mut used = std::collections::BTreeSet::new();
+    for id in 0..40 {
+        used.insert(send(&mut state, now, &long_call(id, 7, now)));
+    }
+    assert!(used.len() > 1, "{used:?}");
+    assert!(used.len() < ENGINES - 1, "{used:?}");
+}
+
+#[test]
+fn hopeless_requests_are_turned_away_at_once() {
+    let mut state = state();
+    let now = Duration::from_secs(1);
+    let mut turned_away = 0;
+    for id in 0..400 {
+        let call = long_call(id, id, now);
+        match state.place(now, &call, &[]) {
+            Ok(choice) => {
+                assert!(choice.expected_wait <= call.route.target);
+                state.note_sent(now, &call, &choice);
+            }
+            Err(NoChoice::TooLate(wait)) => {
+                assert!(wait > Duration::from_secs(1), "{wait:?}");
+                turned_away += 1;
+            }
+            Err(other) => panic!("{other:?}"),
+        }
+    }
+    assert!(turned_away > 300, "{turned_away}");
+}
+
+#[test]
+fn returned_requests_have_a_place() {
+    let mut state = state();
+    let now = Duration::from_secs(1);
+    let mut id = 0;
+    let refused = loop {
+        id += 1;
+        let call = long_call(id, id, now);
+        match state.place(now, &call, &[]) {
+            Ok(choice) => state.note_sent(now, &call, &choice),
+            Err(_) => break call,
+        }
+    };
+    let mut returned = refused;
+    returned.deadline -= Duration::from_secs(2);
+    assert!(returned.has_returned());
+    assert!(state.place(now, &returned, &[]).is_ok());
+}
+
+#[test]
+fn urgent_requests_pass_full_engines() {
+    let mut state = state();
+    let now = Duration::from_secs(1);
+    for id in 0..64 * 8 {
+        let call = call(id, &long_prompt(), now, &[(id, 10)]);
+        if let Ok(choice) = state.place(now, &call, &[]) {
+            state.note_sent(now, &call, &choice);
+        }
+    }
+    let less = call(9000, &long_prompt(), now, &[(9000, 10)]);
+    assert!(state.place(now, &less, &[]).is_err());
+    let urgent = call(9001, &route("urgent", 1, 600, 250), now, &[(9001, 10)]);
+    assert!(state.place(now, &urgent, &[]).is_ok());
+}
+
+#[test]
+fn failed_servers_rest_and_observers_doubt() {
+    let mut state = state();
+    let now = Duration::from_secs(1);
+    let call = long_call(1, 7, now);
+    let home = state.place(now, &call, &[]).expect("a place").server;
+    assert!(state.note_failure(now, &home, FailureKind::ConnectFailed));
+    let other = state.place(now, &call, &[]).expect("a place").server;
+    assert_ne!(home, other);
+    for index in 0..ENGINES {
+        state.note_failure(now, &format!("engine-{index}"), FailureKind::ConnectFailed);
+    }
+    assert!(state.place(now, &call, &[]).is_ok());
+}
+
+#[test]
+fn retries_keep_the_budget() {
+    let mut state = state();
+    let mut spent = 0;
+    for id in 0..100 {
+        let now = Duration::from_millis(10 * id);
+        let call = long_call(id, id, now);
+        state.note_arrival(now, &call);
+        if state.spend_retry(now, &call) {
+            spent += 1;
+        }
+    }
+    // The budget is a fifth of the requests and sixty more.
+    assert!((30..=80).contains(&spent), "{spent}");
+}
--- a/crates/verbenahinge-emulator/src/registry_store.rs
+++ b/crates/verbenahinge-emulator/src/registry_store.rs
@@ -174,7 +174,7 @@
             return plain(StatusCode::BAD_REQUEST);
         };
         let mut rows = self.rows.borrow_mut();
-        for condition in &transaction.expected_revision {
+        for condition in &transaction.conditions {
             let key = (condition.table.clone(), condition.key.clone());
             let live = rows.get(&key).filter(|row| !row.tombstone);
             if live.map_or(0, |row| row.ver) != condition.ver {
--- a/crates/verbenahinge-emulator/src/scripted_server.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server.rs
@@ -211,7 +211,6 @@
         }
         let load = [self.running.get(), 0, self.options.slots];
         match fault {
-            ServerFault::None | ServerFault::Reject => {}
             ServerFault::LoseAnswer => return Ok(false),
             ServerFault::Silence => return std::future::pending().await,
             ServerFault::Crash => std::process::exit(3),
@@ -239,7 +238,11 @@
                 stream.write_all(&whole[..whole.len() - 2]).await?;
                 return Ok(false);
             }
-            ServerFault::ExtraAnswer | ServerFault::BreakOff | ServerFault::Stall => {}
+            ServerFault::None
+            | ServerFault::Reject
+            | ServerFault::ExtraAnswer
+            | ServerFault::BreakOff
+            | ServerFault::Stall => {}
         }
         if request.is_stream {
             self.send_events(stream, request, fault).await?;
--- a/crates/verbenahinge-testkit/src/gateway_fleet.rs
+++ b/crates/verbenahinge-testkit/src/gateway_fleet.rs
@@ -358,6 +358,10 @@
     }
 
     /// Text at a path of a VM's control address.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the VM has no such address.
     pub async fn control_text(&self, vm: usize, path: &str) -> String {
         let control = self.vms[vm].settings.control_listen.expect("an address");
         let bytes = fetch(control, Method::GET, path, Bytes::new()).await;
--- a/crates/verbenahinge/src/gateway/attempt.rs
+++ b/crates/verbenahinge/src/gateway/attempt.rs
@@ -149,7 +149,7 @@
             let (parts, body) = answer.into_parts();
             let head = head::decode_server(parts.status.as_u16(), &parts.headers);
             self.note_head(server, &head);
-            self.check_owner(request, &head)?;
+            check_owner(request, &head)?;
             return Ok(OpenAnswer {
                 status: parts.status,
                 headers: parts.headers,
@@ -169,24 +169,6 @@
         }
     }
 
-    /// Refuses answers that do not belong to the request that was sent.
-    fn check_owner(&self, request: &CallerRequest, head: &ServerHead) -> Result<(), AttemptError> {
-        let belongs = match (&request.id, &head.request_id) {
-            (Some(sent), Some(echoed)) => sent == echoed,
-            (Some(_), None) => head.not_run,
-            (None, _) => true,
-        };
-        if belongs {
-            return Ok(());
-        }
-        log::debug!(
-            "an answer to {:?} came for {:?}",
-            head.request_id,
-            request.id
-        );
-        Err(AttemptError::Failed(FailureKind::Malformed))
-    }
-
     /// Reads the rest of an answer and gives its connection back.
     pub(crate) async fn read_whole(
         &self,
@@ -212,6 +194,24 @@
     }
 }
 
+/// Refuses answers that do not belong to the request that was sent.
+fn check_owner(request: &CallerRequest, head: &ServerHead) -> Result<(), AttemptError> {
+    let belongs = match (&request.id, &head.request_id) {
+        (Some(sent), Some(echoed)) => sent == echoed,
+        (Some(_), None) => head.not_run,
+        (None, _) => true,
+    };
+    if belongs {
+        return Ok(());
+    }
+    log::debug!(
+        "an answer to {:?} came for {:?}",
+        head.request_id,
+        request.id
+    );
+    Err(AttemptError::Failed(FailureKind::Malformed))
+}
+
 /// Time after which a plain server that did not answer is given up for another one.
 pub(crate) fn plain_patience(call: &Call, may_retry: bool) -> Duration {
     /// Several targets; most answers take a fraction of one.
--- a/crates/verbenahinge/src/gateway/flight.rs
+++ b/crates/verbenahinge/src/gateway/flight.rs
@@ -23,7 +23,7 @@
 const ASKED_SERVERS: usize = 3;
 
 /// Times that the load of more servers is asked for.
-const ASK_ROUNDS: usize = 3;
+const ASK_ROUNDS: usize = 1;
 
 /// Time kept back from the time limit for the final answer.
 pub(crate) const ANSWER_MARGIN: Duration = Duration::from_millis(20);
--- a/crates/verbenahinge/src/gateway/peer_message.rs
+++ b/crates/verbenahinge/src/gateway/peer_message.rs
@@ -159,7 +159,7 @@
     pub(super) report: Vec<u32>,
 }
 
-/// Prompts of one priority that have not given a first token yet.
+/// Requests of one priority, and what is yet to be read of them.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub(super) struct ReadingMessage {
     #[prost(uint32, tag = "1")]
@@ -168,6 +168,8 @@
     pub(super) prompts: u32,
     #[prost(uint32, tag = "3")]
     pub(super) tokens: u32,
+    #[prost(uint32, tag = "4")]
+    pub(super) running: u32,
 }
 
 /// Crashes that one request was part of.
@@ -231,6 +233,7 @@
             priority: u32::from(priority),
             prompts: class.prompts,
             tokens: class.tokens,
+            running: class.running,
         });
     }
     let report = load.report.map_or_else(Vec::new, |report| {
@@ -255,6 +258,7 @@
         let prompts = Reading {
             prompts: class.prompts,
             tokens: class.tokens,
+            running: class.running,
         };
         reading.insert(priority, prompts);
     }
--- a/crates/verbenahinge/src/gateway/watch.rs
+++ b/crates/verbenahinge/src/gateway/watch.rs
@@ -23,7 +23,7 @@
 
 /// Time for which one watch waits for a change. A watch whose history was dropped may hear
 /// nothing, so that this bounds how late a change is seen.
-const WATCH_WAIT: Duration = Duration::from_millis(2000);
+const WATCH_WAIT: Duration = Duration::from_secs(2);
 
 /// Time between two looks at whether this VM has to watch.
 const ROLE_INTERVAL: Duration = Duration::from_millis(100);
@@ -32,7 +32,7 @@
 const PUSH_TIME: Duration = Duration::from_millis(120);
 
 /// Time after the start in which other VMs are heard of, before this one begins to watch.
-const SETTLE_TIME: Duration = Duration::from_millis(2000);
+const SETTLE_TIME: Duration = Duration::from_secs(2);
 
 /// First pause after a call that failed.
 const PAUSE_BASE: Duration = Duration::from_millis(100);
