--- /dev/null
+++ b/crates/verbenahinge/tests/gateway_operations.rs
@@ -0,0 +1,57 @@
+//! Logs and metrics say what became of each request.
+
+use verbenahinge_emulator::scripted_server::ServerFault;
+use verbenahinge_testkit::{GatewayFleet, GatewayOptions, GatewayRequest};
+
+const BIN: &str = env!("CARGO_BIN_EXE_verbenahinge");
+const CONFIG: &str = include_str!("data/gateway.json");
+
+async fn start() -> GatewayFleet {
+    GatewayFleet::start(BIN, GatewayOptions::new(CONFIG)).await
+}
+
+#[actix_rt::test]
+async fn requests_can_be_followed() {
+    let fleet = start().await;
+    fleet.call(0, &GatewayRequest::new("good", "/read/x")).await;
+    for server in 0..2 {
+        fleet.fault(server, ServerFault::LoseAnswer, 0).await;
+    }
+    fleet.call(0, &GatewayRequest::new("lost", "/once/x")).await;
+    fleet
+        .call(0, &GatewayRequest::new("odd", "/nowhere/x"))
+        .await;
+    fleet
+        .wait_logged(0, "request_id=good outcome=answered status=200")
+        .await;
+    fleet.wait_logged(0, "request_id=lost server=server-").await;
+    fleet
+        .wait_logged(0, "request_id=lost outcome=failed status=502")
+        .await;
+    fleet.wait_logged(0, "request_id=odd status=404").await;
+}
+
+#[actix_rt::test]
+async fn metrics_count_outcomes() {
+    let fleet = start().await;
+    fleet.call(0, &GatewayRequest::new("r1", "/read/x")).await;
+    fleet
+        .call(0, &GatewayRequest::new("r2", "/nowhere/x"))
+        .await;
+    let text = fleet.control_text(0, "/metrics").await;
+    for line in [
+        "verbenahinge_gateway_ended_total{outcome=\"answered\",route=\"read\"} 1",
+        "verbenahinge_gateway_first_seconds_count{route=\"read\"} 1",
+        "verbenahinge_gateway_total_seconds_count{account=\"one\"} 1",
+        "verbenahinge_gateway_turned_away_total{status=\"404\"} 1",
+    ] {
+        assert!(text.contains(line), "{line} not in {text}");
+    }
+}
+
+#[actix_rt::test]
+async fn reloads_are_logged() {
+    let mut fleet = start().await;
+    fleet.vm_process(0).hang_up();
+    fleet.wait_logged(0, "name=reloaded cause=signal").await;
+}
