fix(gateway): every VM of a small fleet watches the store, five of a large one

Ruled out: lost datagrams (all six healthy VMs learned four versions in one answer, from the store). Change: up to 16 VMs all watch with a long wait; above that five do, with a shorter one. Test: small_fleets_watch_all, which failed before.

--- a/crates/verbenahinge-core/src/gateway.rs
+++ b/crates/verbenahinge-core/src/gateway.rs
@@ -23,7 +23,9 @@
 pub use self::bounds::Bounds;
 pub use self::call::{Call, CallId};
 pub use self::crash_guard::CrashGuard;
-pub use self::feed::{Feed, FeedDelta, FeedRow, RowState, StoreRow, TableCopy, watches_store};
+pub use self::feed::{
+    Feed, FeedDelta, FeedRow, RowState, StoreRow, TableCopy, watch_wait, watches_store,
+};
 pub use self::placement::{Choice, NoChoice, Placement};
 pub use self::prompt::{PartId, Prompt, PromptPart};
 pub use self::registry::{Registry, RegistryChange, ServerEntry, ServerState};
--- a/crates/verbenahinge-core/src/gateway/feed.rs
+++ b/crates/verbenahinge-core/src/gateway/feed.rs
@@ -12,15 +12,26 @@
 
 use crate::Timestamp;
 
-/// VMs that watch the store while all is well; two of them may be lost at once without a gap.
-const WATCHERS: usize = 3;
+/// VMs up to which each one watches the store itself: so few cost little, and any of them may
+/// lose the store together.
+const ALL_WATCH: usize = 16;
+
+/// VMs that watch the store in a larger fleet while all is well. A third of all VMs may lose the
+/// store at once, which rarely hits all of five.
+const WATCHERS: usize = 5;
 
 /// Factor by which the number of watchers grows with each step of age.
 const WATCHERS_STEP: usize = 4;
 
-/// Age of a copy up to which it counts as fresh: the time that one watch waits, the time that a
-/// digest takes to arrive, and a lost one.
-const FRESH: Duration = Duration::from_millis(2900);
+/// Time for which one watch waits for a change where every VM watches.
+const WAIT_ALL: Duration = Duration::from_secs(4);
+
+/// Time for which one watch waits for a change where a few VMs watch for all.
+const WAIT_FEW: Duration = Duration::from_millis(1500);
+
+/// Age of a copy up to which it counts as fresh: the time that one watch of a few waits, the time
+/// that a digest takes to arrive, and a lost one. A change has to be known within three seconds.
+const FRESH: Duration = Duration::from_secs(2);
 
 /// Removed rows that are remembered, so that others can be told.
 const REMOVED_LIMIT: usize = 2000;
@@ -270,13 +281,16 @@
 
 /// Says whether a VM watches the store itself.
 ///
-/// `rank` is its place among the VMs that are known to live, the same on all of them, and `age`
+/// `rank` is its place among the `vms` that are known to live, the same on all of them, and `age`
 /// that of its copy.
 #[must_use]
-pub fn watches_store(rank: usize, age: Option<Duration>) -> bool {
+pub fn watches_store(rank: usize, vms: usize, age: Option<Duration>) -> bool {
     let Some(age) = age else {
         return true;
     };
+    if vms <= ALL_WATCH {
+        return true;
+    }
     if age <= FRESH {
         return rank < WATCHERS;
     }
@@ -285,3 +299,9 @@
     }
     true
 }
+
+/// Time for which one watch waits for a change.
+#[must_use]
+pub const fn watch_wait(vms: usize) -> Duration {
+    if vms <= ALL_WATCH { WAIT_ALL } else { WAIT_FEW }
+}
--- a/crates/verbenahinge-core/tests/table_copies.rs
+++ b/crates/verbenahinge-core/tests/table_copies.rs
@@ -122,10 +122,17 @@
 fn more_vms_watch_when_copies_age() {
     let watchers = |age: Option<u64>| {
         let age = age.map(Duration::from_millis);
-        (0..84).filter(|&rank| watches_store(rank, age)).count()
+        (0..84).filter(|&rank| watches_store(rank, 84, age)).count()
     };
-    assert_eq!(watchers(Some(500)), 3);
-    assert_eq!(watchers(Some(4000)), 12);
+    assert_eq!(watchers(Some(500)), 5);
+    assert_eq!(watchers(Some(3000)), 20);
     assert_eq!(watchers(Some(9000)), 84);
     assert_eq!(watchers(None), 84);
 }
+
+#[test]
+fn small_fleets_watch_all() {
+    // Three of nine VMs lost the store together, and they were the only ones that watched.
+    let fresh = Some(Duration::from_millis(10));
+    assert!((0..9).all(|rank| watches_store(rank, 9, fresh)));
+}
--- a/crates/verbenahinge/src/gateway/peers.rs
+++ b/crates/verbenahinge/src/gateway/peers.rs
@@ -192,12 +192,16 @@
 
     /// Says whether there are too many VMs for each to tell each other one its load.
     pub(crate) fn is_large(&self, now: Timestamp) -> bool {
+        self.live(now) > FANOUT
+    }
+
+    /// Number of other VMs that live.
+    pub(crate) fn live(&self, now: Timestamp) -> usize {
         let members = self.members.borrow();
         members
             .values()
             .filter(|member| member.is_live(now))
             .count()
-            > FANOUT
     }
 
     /// VM that gathers the load of a server, the same on all VMs; `None` if it is this one.
--- a/crates/verbenahinge/src/gateway/watch.rs
+++ b/crates/verbenahinge/src/gateway/watch.rs
@@ -10,7 +10,7 @@
 use strum::IntoEnumIterator;
 use tokio::sync::Notify;
 use verbenahinge_core::gateway::{
-    Feed, FeedDelta, FeedRow, RowState, StoreRow, TableCopy, watches_store,
+    Feed, FeedDelta, FeedRow, RowState, StoreRow, TableCopy, watch_wait, watches_store,
 };
 use verbenahinge_core::hash::jitter;
 use verbenahinge_platform::store::{
@@ -21,10 +21,6 @@
 use super::{Gateway, peers};
 use crate::event_log::LogEvent;
 
-/// Time for which one watch waits for a change. A watch whose history was dropped may hear
-/// nothing, so that this bounds how late a change is seen.
-const WATCH_WAIT: Duration = Duration::from_secs(2);
-
 /// Time between two looks at whether this VM has to watch.
 const ROLE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -153,7 +149,8 @@
             actix_rt::time::sleep(ROLE_INTERVAL).await;
             continue;
         }
-        match read_store(&gateway, &mut store, feed, WATCH_WAIT, must_read).await {
+        let wait = watch_wait(gateway.peers.live(gateway.now()) + 1);
+        match read_store(&gateway, &mut store, feed, wait, must_read).await {
             Ok((rows, is_whole)) => {
                 let after_outage = health.is_lost();
                 health.note_answer();
@@ -219,7 +216,7 @@
         return false;
     }
     let age = if is_known { age } else { None };
-    watches_store(gateway.peers.rank(now), age)
+    watches_store(gateway.peers.rank(now), gateway.peers.live(now) + 1, age)
 }
 
 fn take_rows(gateway: &Rc<Gateway>, feed: Feed, rows: Rows, is_whole: bool, after_outage: bool) {
