--- a/crates/verbenahinge-core/src/gateway/placement.rs
+++ b/crates/verbenahinge-core/src/gateway/placement.rs
@@ -37,7 +37,8 @@
 /// Part of an engine's memory that running requests may fill before others are preempted.
 const MEMORY_PART: f64 = 0.85;
 
-/// Cost of a place where running requests would be preempted or wait for a slot.
+/// Cost from which a place is not taken: that of an engine without a slot or memory, or of one
+/// where several short streams would become late.
 const FULL_COST: f64 = 4.0;
 
 /// Places beyond the slots that urgent requests may wait for, as a part of the slots.
--- a/crates/verbenahinge-core/tests/prompt_placement.rs
+++ b/crates/verbenahinge-core/tests/prompt_placement.rs
@@ -250,3 +250,22 @@
     // The budget is a fifth of the requests and sixty more.
     assert!((30..=80).contains(&spent), "{spent}");
 }
+
+#[test]
+fn long_reads_spare_many_short_streams() {
+    let mut state = state();
+    let now = Duration::from_secs(1);
+    // Few engines are left, and each of them has many short streams.
+    for index in 2..ENGINES {
+        state.remove_server(&format!("engine-{index}"));
+    }
+    for id in 0..100 {
+        let short = short_call(id, now);
+        if let Ok(choice) = state.place(now, &short, &[]) {
+            state.note_sent(now, &short, &choice);
+            state.note_first_token(now, id, &choice.server);
+        }
+    }
+    let long = long_call(900, 7, now);
+    assert_eq!(state.place(now, &long, &[]), Err(NoChoice::Full));
+}
