--- a/crates/verbenahinge-core/src/gateway.rs
+++ b/crates/verbenahinge-core/src/gateway.rs
@@ -11,6 +11,7 @@
 mod call;
 mod crash_guard;
 mod feed;
+mod number;
 mod placement;
 mod prompt;
 mod registry;
--- a/crates/verbenahinge-core/src/gateway/backend.rs
+++ b/crates/verbenahinge-core/src/gateway/backend.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::number::to_u32;
 use super::{Call, CallId, PartId};
 use crate::{FailureKind, Timestamp, VmId};
 
@@ -202,7 +203,7 @@
 
     /// Takes note of a request that is sent to the server.
     pub fn note_sent(&mut self, now: Timestamp, call: &Call, read_cost: f64, interactive: bool) {
-        let read_tokens = to_tokens(read_cost);
+        let read_tokens = to_u32(read_cost);
         let priority = call.priority();
         let read_ahead = self.read_ahead(priority) + read_cost;
         let mut memory_tokens = 0;
@@ -467,12 +468,3 @@
 fn count(len: usize) -> u32 {
     u32::try_from(len).unwrap_or(u32::MAX)
 }
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "the value is clamped to the range of the type"
-)]
-fn to_tokens(cost: f64) -> u32 {
-    cost.clamp(0.0, f64::from(u32::MAX)) as u32
-}
--- a/crates/verbenahinge-core/src/gateway/state.rs
+++ b/crates/verbenahinge-core/src/gateway/state.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::number::to_u32;
 use super::placement::Candidate;
 use super::{
     Backend, Bounds, Call, CallId, Choice, CrashGuard, LoadReport, NoChoice, PeerLoad, Placement,
@@ -497,12 +498,3 @@
 fn decay(elapsed: Duration) -> f64 {
     (-elapsed.as_secs_f64() / DEMAND_WINDOW.as_secs_f64()).exp()
 }
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "the value is clamped to the range of the type"
-)]
-fn to_u32(value: f64) -> u32 {
-    value.clamp(0.0, f64::from(u32::MAX)) as u32
-}
--- a/crates/verbenahinge/src/gateway/flight.rs
+++ b/crates/verbenahinge/src/gateway/flight.rs
@@ -25,7 +25,7 @@
 /// Times that the load of more servers is asked for.
 const ASK_ROUNDS: usize = 1;
 
-/// Time kept back from the time limit for the final answer.
+/// Time kept back from the deadline, in which the final answer reaches the caller.
 pub(crate) const ANSWER_MARGIN: Duration = Duration::from_millis(20);
 
 /// Counts a request for as long as its answer is not complete, so that a shutdown waits for it.
