feat(core): engines copy read parts of prompts, and VMs know where these are

Change: digests name the shared parts being read, the gatherer of a large fleet answers which of a prompt's parts an engine has, placement prefers engines that have them, and otherwise names one that has read them for the engine to copy from (4.7 us a token instead of 20).

--- a/crates/verbenahinge-core/src/gateway.rs
+++ b/crates/verbenahinge-core/src/gateway.rs
@@ -12,6 +12,7 @@
 mod crash_guard;
 mod feed;
 mod number;
+mod part_cache;
 mod placement;
 mod prompt;
 mod registry;
@@ -27,6 +28,7 @@
 pub use self::feed::{
     Feed, FeedDelta, FeedRow, RowState, StoreRow, TableCopy, watch_wait, watches_store,
 };
+pub use self::part_cache::{PartCache, PartState};
 pub use self::placement::{Choice, NoChoice, Placement};
 pub use self::prompt::{PartId, Prompt, PromptPart};
 pub use self::registry::{Registry, RegistryChange, ServerEntry, ServerState};
--- a/crates/verbenahinge-core/src/gateway/backend.rs
+++ b/crates/verbenahinge-core/src/gateway/backend.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use super::number::to_u32;
-use super::{Call, CallId, PartId};
+use super::{Call, CallId, PartCache, PartId, PartState};
 use crate::{FailureKind, Timestamp, VmId};
 
 /// Reading speed of an engine before any first token has been measured, in tokens per ms.
@@ -32,12 +32,6 @@
 /// Time after which gathered load is too old to go by; engines read several prompts in it.
 const TOLD_TTL: Duration = Duration::from_millis(500);
 
-/// Time after which a part that was not used again is taken to be evicted.
-const PART_TTL: Duration = Duration::from_secs(40);
-
-/// Parts of prompts that are remembered for one server.
-const PART_LIMIT: usize = 600;
-
 /// First time for which a server that failed gets nothing.
 const EJECT_BASE: Duration = Duration::from_millis(700);
 
@@ -101,6 +95,8 @@
     pub memory_tokens: u32,
     /// Requests and what is yet to be read of them, by priority.
     pub reading: BTreeMap<u8, Reading>,
+    /// Shared parts of prompts that the server has, of those that the teller knows to matter.
+    pub parts: BTreeMap<PartId, PartState>,
     /// Load that the server told it last, if that was since the digest before.
     pub report: Option<LoadReport>,
 }
@@ -122,7 +118,7 @@
     seen: Timestamp,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct InFlight {
     sent: Timestamp,
     priority: u8,
@@ -131,6 +127,7 @@
     memory_tokens: u32,
     reading: bool,
     interactive: bool,
+    shared_parts: Vec<PartId>,
 }
 
 /// What one VM believes about one backend server.
@@ -140,7 +137,7 @@
     peers: BTreeMap<VmId, PeerState>,
     told: Option<PeerState>,
     read_rate: f64,
-    cached: BTreeMap<PartId, Timestamp>,
+    cached: PartCache,
     report: Option<(Timestamp, LoadReport)>,
     own_report: Option<LoadReport>,
     error_share: f64,
@@ -165,7 +162,7 @@
             peers: BTreeMap::new(),
             told: None,
             read_rate: READ_RATE_START,
-            cached: BTreeMap::new(),
+            cached: PartCache::new(),
             report: None,
             own_report: None,
             error_share: 0.0,
@@ -193,12 +190,10 @@
         uncached * (1.0 + CONTEXT_COST * context.max(0.0))
     }
 
-    /// Says whether this VM sent the part here lately.
+    /// How far the server is with a part of a prompt; `None` if it is not known to have it.
     #[must_use]
-    pub fn has_part(&self, now: Timestamp, part: PartId) -> bool {
-        self.cached
-            .get(&part)
-            .is_some_and(|&used| used + PART_TTL > now)
+    pub fn part(&self, now: Timestamp, part: PartId) -> Option<PartState> {
+        self.cached.state(now, part)
     }
 
     /// Takes note of a request that is sent to the server.
@@ -207,13 +202,14 @@
         let priority = call.priority();
         let read_ahead = self.read_ahead(priority) + read_cost;
         let mut memory_tokens = 0;
+        let mut shared_parts = Vec::new();
         if let Some(prompt) = &call.prompt {
             // Cached parts are shared and do not count again.
             memory_tokens = read_tokens.min(prompt.prompt_tokens) + prompt.max_output_tokens / 2;
             for part in &prompt.parts {
-                self.cached.insert(part.id, now);
+                self.cached.note_sent(now, part.id);
             }
-            self.bound_cached();
+            shared_parts.extend(prompt.shared_parts().iter().map(|part| part.id));
         }
         let request = InFlight {
             sent: now,
@@ -223,20 +219,11 @@
             memory_tokens,
             reading: true,
             interactive,
+            shared_parts,
         };
         self.in_flight.insert(call.id, request);
     }
 
-    fn bound_cached(&mut self) {
-        while self.cached.len() > PART_LIMIT {
-            let oldest = self.cached.iter().min_by_key(|(_, used)| **used);
-            let Some((&part, _)) = oldest else {
-                return;
-            };
-            self.cached.remove(&part);
-        }
-    }
-
     /// Takes note of the first token of a request.
     pub fn note_first_token(&mut self, now: Timestamp, call: CallId) {
         self.last_progress = now;
@@ -322,6 +309,7 @@
 
     /// Takes in the load that another VM puts on the server.
     pub fn note_peer(&mut self, now: Timestamp, vm: VmId, load: PeerLoad) {
+        self.note_parts(now, &load);
         if let Some(report) = load.report {
             self.report = Some((now, report));
         }
@@ -330,20 +318,33 @@
 
     /// Takes in the load of all other VMs, as the VM that gathers it for this server tells it.
     pub fn note_gathered(&mut self, now: Timestamp, load: PeerLoad) {
+        self.note_parts(now, &load);
         if let Some(report) = load.report {
             self.report = Some((now, report));
         }
         self.told = Some(PeerState { load, seen: now });
     }
 
-    /// Load of all VMs but one, for that one to know.
+    fn note_parts(&mut self, now: Timestamp, load: &PeerLoad) {
+        for (&part, &state) in &load.parts {
+            self.cached.note_told(now, part, state);
+        }
+    }
+
+    /// Load of all VMs but one, for that one to know, and what the server has of some parts.
     #[must_use]
-    pub fn gathered_for(&self, vm: VmId) -> PeerLoad {
+    pub fn gathered_for(&self, now: Timestamp, vm: VmId, parts: &[PartId]) -> PeerLoad {
         let mut total = self.own_load();
         for (_, peer) in self.peers.iter().filter(|(id, _)| **id != vm) {
             total.add(&peer.load);
         }
         total.report = self.report.map(|(_, report)| report);
+        total.parts.clear();
+        for &part in parts {
+            if let Some(state) = self.part(now, part) {
+                total.parts.insert(part, state);
+            }
+        }
         total
     }
 
@@ -368,6 +369,16 @@
         self.others().map(field).sum()
     }
 
+    fn parts_being_read(&self) -> BTreeMap<PartId, PartState> {
+        let mut parts = BTreeMap::new();
+        for request in self.in_flight.values().filter(|request| request.reading) {
+            for &part in &request.shared_parts {
+                parts.insert(part, PartState::BeingRead);
+            }
+        }
+        parts
+    }
+
     fn own_reading(&self) -> BTreeMap<u8, Reading> {
         let mut reading: BTreeMap<u8, Reading> = BTreeMap::new();
         for request in self.in_flight.values() {
@@ -460,6 +471,7 @@
             interactive: count(interactive.count()),
             memory_tokens: self.in_flight.values().map(|call| call.memory_tokens).sum(),
             reading: self.own_reading(),
+            parts: self.parts_being_read(),
             report: self.own_report,
         }
     }
--- a/crates/verbenahinge-core/src/gateway/placement.rs
+++ b/crates/verbenahinge-core/src/gateway/placement.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern for engines: long prompts that share their first parts arrive beside short ones
 //! whose streams must not pause. Prompts with equal first parts go to the same engine, so that it
-//! reads them once; short streams get engines of their own, since the chunks of a long prompt
+//! reads them once, and other engines copy them from there; short streams get engines of their own, since the chunks of a long prompt
 //! delay every token beside them; a request whose wait would exceed its target goes where the
 //! wait is shorter, or is refused.
 //!
@@ -12,7 +12,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::{Backend, Call, EngineLimits, ServerEntry};
+use super::{Backend, Call, EngineLimits, Prompt, PromptPart, ServerEntry};
 use crate::hash::{hash64, mix64};
 use crate::{ServerName, Timestamp};
 
@@ -31,6 +31,10 @@
 /// Part of the shared tokens that the first choice of a prompt is expected to have cached.
 const HOME_CACHED: f64 = 0.9;
 
+/// Shared tokens from which copying what another engine has read is faster than reading; a copy
+/// takes some milliseconds to set up.
+const COPY_MIN_TOKENS: u32 = 1000;
+
 /// Cost of leaving the engines that are meant for the kind of request.
 const LANE_COST: f64 = 0.5;
 
@@ -71,6 +75,8 @@
     pub read_cost: f64,
     /// Expected time to its first event there.
     pub expected_wait: Duration,
+    /// Engine that has read the shared parts of the prompt, if they are to be copied from it.
+    pub copy_from: Option<ServerName>,
     /// Whether reads of others would make it late.
     pub interactive: bool,
 }
@@ -181,6 +187,7 @@
             server: candidate.entry.id.clone(),
             read_cost: 0.0,
             expected_wait: Duration::ZERO,
+            copy_from: None,
             interactive: false,
         })
     }
@@ -218,15 +225,21 @@
     ) -> Result<Choice, NoChoice> {
         let interactive = self.is_interactive(call);
         let lane = self.interactive_lane(candidates);
-        let home = home_of(call, candidates, &lane, interactive);
+        // Where nobody is known to have the shared parts, all VMs agree on who gets them.
+        let home = if self.is_known(call, candidates) {
+            None
+        } else {
+            home_of(call, candidates, &lane, interactive)
+        };
         let admitted_wait = self.admitted_wait(call);
         let mut best: Option<(f64, Choice)> = None;
         let mut least_wait = Duration::MAX;
         for candidate in candidates {
             let in_lane = lane.contains(&candidate.entry.id) == interactive;
             let is_home = home.as_ref() == Some(&candidate.entry.id);
+            let copied = self.copy_source(call, candidate, candidates, engine);
             let (mut cost, choice) =
-                self.engine_cost(call, candidate, engine, interactive, is_home);
+                self.engine_cost(call, candidate, engine, interactive, is_home, copied);
             least_wait = least_wait.min(choice.expected_wait);
             if choice.expected_wait > admitted_wait {
                 continue;
@@ -279,15 +292,28 @@
         engine: EngineLimits,
         interactive: bool,
         is_home: bool,
+        copied: Option<Copied>,
     ) -> (f64, Choice) {
         let backend = candidate.backend;
-        let read_cost = self.read_cost(call, backend, is_home);
+        let mut read_cost = self.read_cost(call, backend, is_home);
         let rate = backend.read_rate();
-        let wait_ms = (backend.read_ahead(call.priority()) + read_cost) / rate;
+        let mut copy_ms = 0.0;
+        let mut copy_from = None;
+        if let Some(copied) = copied {
+            let rest = self.rest_cost(call, copied.tokens);
+            if copied.time_ms + rest / rate < read_cost / rate {
+                read_cost = rest;
+                copy_ms = copied.time_ms;
+                copy_from = Some(copied.from);
+            }
+        }
+        // The copy is made while the prompts before are read.
+        let ahead_ms = (backend.read_ahead(call.priority()) / rate).max(copy_ms);
+        let wait_ms = ahead_ms + read_cost / rate;
         let target_ms = call.route.target.as_secs_f64() * 1000.0;
         let waited = wait_ms / target_ms.max(1.0);
         let mut cost = ((waited - WAIT_FREE) / (1.0 - WAIT_FREE)).max(0.0);
-        cost += READ_SECOND_COST * read_cost / rate / 1000.0;
+        cost += READ_SECOND_COST * (read_cost / rate + copy_ms) / 1000.0;
         if interactive {
             let pressed = backend.backlog_tokens() / QUIET_READ_TOKENS;
             cost += LATE_COST * pressed.min(1.0);
@@ -312,25 +338,90 @@
             server: candidate.entry.id.clone(),
             read_cost,
             expected_wait: Duration::from_secs_f64(wait_ms / 1000.0),
+            copy_from,
             interactive,
         };
         (cost, choice)
     }
 
-    fn read_cost(&self, call: &Call, backend: &Backend, is_home: bool) -> f64 {
+    /// Says whether some engine is known to have the shared parts of a prompt.
+    fn is_known(&self, call: &Call, candidates: &[Candidate]) -> bool {
         let Some(prompt) = &call.prompt else {
-            return 0.0;
+            return false;
         };
+        let shared = prompt.shared_tokens();
+        candidates
+            .iter()
+            .any(|candidate| self.cached_tokens(prompt, candidate.backend) >= shared)
+    }
+
+    /// Finds the engine that the shared parts of a prompt can be copied from.
+    fn copy_source(
+        &self,
+        call: &Call,
+        candidate: &Candidate,
+        candidates: &[Candidate],
+        engine: EngineLimits,
+    ) -> Option<Copied> {
+        let token_copy = engine.token_copy?;
+        let prompt = call.prompt.as_ref()?;
+        let shared = prompt.shared_tokens();
+        let cached = self.cached_tokens(prompt, candidate.backend);
+        let missing = shared.saturating_sub(cached);
+        if missing < COPY_MIN_TOKENS {
+            return None;
+        }
+        let mut source: Option<&Candidate> = None;
+        for other in candidates {
+            let has_read = |part: &PromptPart| {
+                other
+                    .backend
+                    .part(self.now, part.id)
+                    .is_some_and(|state| state.is_read())
+            };
+            if other.entry.id == candidate.entry.id || !prompt.shared_parts().iter().all(has_read) {
+                continue;
+            }
+            // The least busy one has the most room on its link.
+            let load = other.backend.running();
+            if source.is_none_or(|best| load < best.backend.running()) {
+                source = Some(other);
+            }
+        }
+        let from = source?.entry.id.clone();
+        Some(Copied {
+            from,
+            tokens: f64::from(shared),
+            time_ms: f64::from(missing) * token_copy.as_secs_f64() * 1000.0,
+        })
+    }
+
+    fn cached_tokens(&self, prompt: &Prompt, backend: &Backend) -> u32 {
         let mut cached = 0;
         for part in &prompt.parts {
-            if !backend.has_part(self.now, part.id) {
+            if backend.part(self.now, part.id).is_none() {
                 break;
             }
             cached += part.tokens;
         }
-        let shared = prompt.parts.split_last().map_or(0, |(_own, shared)| {
-            shared.iter().map(|part| part.tokens).sum::<u32>()
-        });
+        cached
+    }
+
+    /// Cost of reading what follows the given part of a prompt.
+    fn rest_cost(&self, call: &Call, present: f64) -> f64 {
+        let whole = call
+            .prompt
+            .as_ref()
+            .map_or(0.0, |prompt| f64::from(prompt.prompt_tokens));
+        Backend::read_cost_of(whole, (whole - present).max(0.0))
+    }
+
+    fn read_cost(&self, call: &Call, backend: &Backend, is_home: bool) -> f64 {
+        let Some(prompt) = &call.prompt else {
+            return 0.0;
+        };
+        let cached = self.cached_tokens(prompt, backend);
+        let shared = prompt.shared_tokens();
         let mut uncached = f64::from(prompt.prompt_tokens.saturating_sub(cached));
         if is_home && cached < shared {
             uncached -= HOME_CACHED * f64::from(shared - cached);
@@ -341,6 +432,13 @@
     }
 }
 
+/// Parts of a prompt that an engine can copy from another one.
+struct Copied {
+    from: ServerName,
+    tokens: f64,
+    time_ms: f64,
+}
+
 /// First choice for a prompt among the engines that are meant for its kind.
 fn home_of(
     call: &Call,
--- a/crates/verbenahinge-core/src/gateway/prompt.rs
+++ b/crates/verbenahinge-core/src/gateway/prompt.rs
@@ -26,6 +26,18 @@
 }
 
 impl Prompt {
+    /// Length of the parts that other requests may share.
+    #[must_use]
+    pub fn shared_tokens(&self) -> u32 {
+        self.shared_parts().iter().map(|part| part.tokens).sum()
+    }
+
+    /// Parts that other requests may share: all but the last.
+    #[must_use]
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_own, shared)| shared)
+    }
+
     /// Identifies the longest run of parts that other requests may share.
     ///
     /// A prompt of one part is taken to belong to a session.
--- a/crates/verbenahinge-core/src/gateway/routing.rs
+++ b/crates/verbenahinge-core/src/gateway/routing.rs
@@ -99,6 +99,8 @@
     pub slots: u32,
     /// Tokens that running requests and cached prompt parts share.
     pub memory_tokens: u64,
+    /// Time to copy the state of one read token from another engine; `None` if engines do not.
+    pub token_copy: Option<Duration>,
     /// Tokens that one event of a stream holds.
     pub tokens_per_event: u32,
 }
--- a/crates/verbenahinge-core/src/gateway/state.rs
+++ b/crates/verbenahinge-core/src/gateway/state.rs
@@ -7,8 +7,8 @@
 use super::number::to_u32;
 use super::placement::Candidate;
 use super::{
-    Backend, Bounds, Call, CallId, Choice, CrashGuard, LoadReport, NoChoice, PeerLoad, Placement,
-    Registry, RegistryChange, RetryWindow, Routing, ServerEntry, ServiceName,
+    Backend, Bounds, Call, CallId, Choice, CrashGuard, LoadReport, NoChoice, PartId, PeerLoad,
+    Placement, Registry, RegistryChange, RetryWindow, Routing, ServerEntry, ServiceName,
 };
 use crate::hash::hash64;
 use crate::{
@@ -278,13 +278,20 @@
         candidates
     }
 
-    /// Load that all VMs but one put on a server; `None` if the server is not known.
+    /// Load that all VMs but one put on a server, and what it has of some parts of prompts;
+    /// `None` if the server is not known.
     #[must_use]
-    pub fn gathered_for(&self, vm: VmId, server: u64) -> Option<ServerDigest> {
+    pub fn gathered_for(
+        &self,
+        now: Timestamp,
+        vm: VmId,
+        server: u64,
+        parts: &[PartId],
+    ) -> Option<ServerDigest> {
         let backend = self.backends.get(self.names.get(&server)?)?;
         Some(ServerDigest {
             server,
-            load: backend.gathered_for(vm),
+            load: backend.gathered_for(now, vm, parts),
         })
     }
 
--- a/crates/verbenahinge-core/tests/prompt_placement.rs
+++ b/crates/verbenahinge-core/tests/prompt_placement.rs
@@ -91,6 +91,7 @@
             engine: Some(EngineLimits {
                 slots: 64,
                 memory_tokens: 580_000,
+                token_copy: Some(Duration::from_nanos(4700)),
                 tokens_per_event: 3,
             }),
         },
@@ -137,6 +138,53 @@
     assert_eq!(homes.len(), 1, "{homes:?}");
 }
 
+/// A VM of the same fleet, which hears of the other's load by digests alone.
+fn hear(state: &mut GatewayState, now: Timestamp, other: &GatewayState) {
+    let mut digest = other.digest(now);
+    digest.vm = 2;
+    state.note_digest(now, &digest);
+}
+
+#[test]
+fn prompts_follow_parts_that_other_vms_sent() {
+    let mut one = state();
+    let mut other = state();
+    let now = Duration::from_secs(1);
+    // The other VM found the usual engine of the subject out of order.
+    let first = long_call(1, 7, now);
+    let home = other.place(now, &first, &[]).expect("a place").server;
+    let choice = other.place(now, &first, &[home]).expect("a place");
+    other.note_sent(now, &first, &choice);
+    hear(&mut one, now, &other);
+    let follower = one.place(now, &long_call(2, 7, now), &[]).expect("a place");
+    assert_eq!(follower.server, choice.server);
+}
+
+#[test]
+fn spilled_prompts_copy_what_others_have_read() {
+    let mut state = state();
+    let now = Duration::from_secs(1);
+    let home = send(&mut state, now, &long_call(1, 7, now));
+    let later = now + Duration::from_secs(2);
+    state.note_first_token(later, 1, &home);
+    // Nobody copies before the engine can have read the parts.
+    let early = state.place(now, &long_call(2, 7, now), &[home.as_str().into()]);
+    assert_eq!(early.expect("a place").copy_from, None);
+    let spilled = state.place(later, &long_call(3, 7, later), &[]);
+    assert_eq!(spilled.expect("a place").copy_from, None);
+    for id in 10..30 {
+        let call = long_call(id, 7, later);
+        let choice = state.place(later, &call, &[]).expect("a place");
+        if *choice.server != *home {
+            assert_eq!(choice.copy_from.as_deref(), Some(home.as_str()));
+            assert!(choice.read_cost < f64::from(OWN_TOKENS) * 1.5, "{choice:?}");
+            return;
+        }
+        state.note_sent(later, &call, &choice);
+    }
+    panic!("everything went to {home}");
+}
+
 #[test]
 fn short_streams_stay_off_long_reads() {
     let mut state = state();
--- a/crates/verbenahinge/src/gateway/attempt.rs
+++ b/crates/verbenahinge/src/gateway/attempt.rs
@@ -89,12 +89,19 @@
         self: &Rc<Self>,
         call: &Call,
         request: &CallerRequest,
-        server: &ServerName,
+        choice: &Choice,
         last_event: Option<u64>,
         until: Timestamp,
     ) -> Result<OpenAnswer, AttemptError> {
         let failed = AttemptError::Failed;
-        let entry = self.state.borrow().registry().get(server).cloned();
+        let server = &choice.server;
+        let (entry, copy_from) = {
+            let state = self.state.borrow();
+            let source = choice.copy_from.as_ref();
+            let source = source.and_then(|source| state.registry().get(source));
+            let entry = state.registry().get(server).cloned();
+            (entry, source.map(|entry| entry.address))
+        };
         let Some(entry) = entry else {
             return Err(failed(FailureKind::ConnectFailed));
         };
@@ -116,6 +123,7 @@
                 server,
                 account: call.account.as_ref().map(|account| &*account.name),
                 priority: call.prompt.as_ref().map(|_| call.priority()),
+                copy_from,
                 last_event,
             };
             let mut outgoing = Request::new(Full::new(request.body.clone()));
--- a/crates/verbenahinge/src/gateway/flight.rs
+++ b/crates/verbenahinge/src/gateway/flight.rs
@@ -6,7 +6,7 @@
 
 use http_body_util::Full;
 use hyper::{Response, StatusCode};
-use verbenahinge_core::gateway::{Call, Choice, NoChoice, RETRY_AFTER_MIN, retry_after};
+use verbenahinge_core::gateway::{Call, Choice, NoChoice, Prompt, RETRY_AFTER_MIN, retry_after};
 use verbenahinge_core::{FailureKind, ServerName, Timestamp, Verdict};
 use verbenahinge_platform::head;
 
@@ -59,7 +59,7 @@
     sends: u32,
     verdict: Verdict,
     first_event_at: Option<Timestamp>,
-    expected: Option<(Duration, f64)>,
+    choice: Option<Choice>,
     is_finished: bool,
     _in_service: InService,
 }
@@ -82,7 +82,7 @@
             sends: 0,
             verdict: Verdict::NotRun,
             first_event_at: None,
-            expected: None,
+            choice: None,
             is_finished: false,
             _in_service: in_service,
         }
@@ -110,7 +110,7 @@
         let mut result = Err(NoChoice::NoServer);
         for round in 1..=ASK_ROUNDS {
             let asked = &ranked[..ranked.len().min(round * ASKED_SERVERS)];
-            peers::ask_load(&self.gateway, asked).await;
+            peers::ask_load(&self.gateway, asked, &self.call).await;
             let state = self.gateway.state.borrow();
             result = state.place_among(self.gateway.now(), &self.call, asked);
             if result.is_ok() {
@@ -123,7 +123,7 @@
     /// Takes note that an attempt begins.
     pub(crate) fn begin(&mut self, choice: &Choice) -> InFlight {
         self.sends += 1;
-        self.expected = Some((choice.expected_wait, choice.read_cost));
+        self.choice = Some(choice.clone());
         self.tried.push(choice.server.clone());
         let in_flight = InFlight::new(&self.gateway, &self.call, choice);
         peers::tell_load(&self.gateway, &choice.server);
@@ -199,7 +199,7 @@
             };
             let server = choice.server.clone();
             let in_flight = self.begin(&choice);
-            let result = self.attempt_plain(&server).await;
+            let result = self.attempt_plain(&choice).await;
             drop(in_flight);
             let error = match result {
                 Ok(answer) => match self.judge(&server, &answer) {
@@ -221,7 +221,7 @@
         }
     }
 
-    async fn attempt_plain(&self, server: &ServerName) -> Result<WholeAnswer, AttemptError> {
+    async fn attempt_plain(&self, choice: &Choice) -> Result<WholeAnswer, AttemptError> {
         let now = self.gateway.now();
         let may_retry = self.sends < self.call.route.max_attempts;
         let patience = now.saturating_add(plain_patience(&self.call, may_retry));
@@ -229,7 +229,7 @@
         let gateway = &self.gateway;
         let attempt = async {
             let open = gateway
-                .open_answer(&self.call, &self.request, server, None, until)
+                .open_answer(&self.call, &self.request, choice, None, until)
                 .await?;
             gateway.read_whole(open, until).await
         };
@@ -360,7 +360,11 @@
         let first = self
             .first_event_at
             .map_or(total, |at| at.saturating_sub(self.call.arrived));
-        let (expected_wait, read_cost) = self.expected.unwrap_or_default();
+        let choice = self.choice.as_ref();
+        let expected_wait = choice.map_or(Duration::ZERO, |choice| choice.expected_wait);
+        let read_cost = choice.map_or(0.0, |choice| choice.read_cost);
+        let copy_from = choice.and_then(|choice| choice.copy_from.as_deref());
+        let prompt = self.call.prompt.as_ref().map_or(0, Prompt::shared_key);
         let account = self
             .call
             .account
@@ -379,6 +383,8 @@
             ("total_ms", &total.as_millis()),
             ("expected_ms", &expected_wait.as_millis()),
             ("read_tokens", &format!("{read_cost:.0}")),
+            ("copy_from", &copy_from.unwrap_or("-")),
+            ("prompt", &format!("{prompt:x}")),
             ("config", &self.gateway.state.borrow().config_version()),
             ("detail", detail),
         ]);
--- a/crates/verbenahinge/src/gateway/peer_message.rs
+++ b/crates/verbenahinge/src/gateway/peer_message.rs
@@ -4,7 +4,8 @@
 use std::net::{IpAddr, Ipv4Addr};
 
 use verbenahinge_core::gateway::{
-    Feed, FeedDelta, FeedRow, LoadReport, PeerDigest, PeerLoad, Reading, RowState, ServerDigest,
+    Feed, FeedDelta, FeedRow, LoadReport, PartState, PeerDigest, PeerLoad, Reading, RowState,
+    ServerDigest,
 };
 
 /// One datagram.
@@ -28,6 +29,9 @@
     /// Servers whose gathered load the sender asks for.
     #[prost(fixed64, repeated, tag = "9")]
     pub(super) asked: Vec<u64>,
+    /// Parts of a prompt of which the sender asks what the servers have.
+    #[prost(uint64, repeated, tag = "12")]
+    pub(super) asked_parts: Vec<u64>,
     /// Number of the question that is asked, or answered by `gathered`.
     #[prost(uint64, tag = "10")]
     pub(super) question: u64,
@@ -157,6 +161,12 @@
     /// Running and waiting requests and slots, as the server told them last.
     #[prost(uint32, repeated, tag = "7")]
     pub(super) report: Vec<u32>,
+    /// Parts of prompts that the server has read.
+    #[prost(uint64, repeated, tag = "8")]
+    pub(super) parts_read: Vec<u64>,
+    /// Parts of prompts that the server has yet to read.
+    #[prost(uint64, repeated, tag = "9")]
+    pub(super) parts_being_read: Vec<u64>,
 }
 
 /// Requests of one priority, and what is yet to be read of them.
@@ -239,6 +249,14 @@
     let report = load.report.map_or_else(Vec::new, |report| {
         vec![report.running, report.waiting, report.slots]
     });
+    let mut parts_read = Vec::new();
+    let mut parts_being_read = Vec::new();
+    for (part, state) in load.parts {
+        match state {
+            PartState::Read => parts_read.push(part),
+            PartState::BeingRead => parts_being_read.push(part),
+        }
+    }
     ServerMessage {
         server: digest.server,
         running: load.running,
@@ -246,6 +264,8 @@
         memory_tokens: load.memory_tokens,
         reading,
         report,
+        parts_read,
+        parts_being_read,
     }
 }
 
@@ -270,6 +290,12 @@
         }),
         _ => None,
     };
+    let read = message.parts_read.into_iter();
+    let being_read = message.parts_being_read.into_iter();
+    let parts = being_read
+        .map(|part| (part, PartState::BeingRead))
+        .chain(read.map(|part| (part, PartState::Read)))
+        .collect();
     ServerDigest {
         server: message.server,
         load: PeerLoad {
@@ -277,6 +303,7 @@
             interactive: message.interactive,
             memory_tokens: message.memory_tokens,
             reading,
+            parts,
             report,
         },
     }
--- a/crates/verbenahinge/src/gateway/peers.rs
+++ b/crates/verbenahinge/src/gateway/peers.rs
@@ -16,7 +16,7 @@
 use strum::IntoEnumIterator;
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
-use verbenahinge_core::gateway::{Feed, PeerDigest, ServerDigest};
+use verbenahinge_core::gateway::{Call, Feed, PeerDigest, Prompt, ServerDigest};
 use verbenahinge_core::hash::{hash64, mix64};
 use verbenahinge_core::{ServerName, Timestamp};
 use verbenahinge_platform::node_file::VmSettings;
@@ -336,7 +336,7 @@
 }
 
 /// Asks the VMs that gather the load of some servers for it, and waits a moment for answers.
-pub(super) async fn ask_load(gateway: &Gateway, servers: &[ServerName]) {
+pub(super) async fn ask_load(gateway: &Gateway, servers: &[ServerName], call: &Call) {
     let now = gateway.now();
     let mut by_vm: BTreeMap<IpAddr, Vec<u64>> = BTreeMap::new();
     for server in servers {
@@ -361,10 +361,12 @@
             done: Some(done),
         },
     );
+    let shared = call.prompt.as_ref().map_or(&[][..], Prompt::shared_parts);
     for (ip, servers) in by_vm {
         let digest = gateway.state.borrow().own_digest(now);
         let mut message = PeerMessage::new(digest, Vec::new(), Vec::new());
         message.asked = servers;
+        message.asked_parts = shared.iter().map(|part| part.id).collect();
         message.question = question;
         peers.send(&message, &[ip]).await;
     }
@@ -401,7 +403,8 @@
         let state = gateway.state.borrow();
         let mut answer = PeerMessage::new(state.own_digest(now), Vec::new(), Vec::new());
         for server in std::mem::take(&mut message.asked) {
-            if let Some(digest) = state.gathered_for(message.vm, server) {
+            let parts = &message.asked_parts;
+            if let Some(digest) = state.gathered_for(now, message.vm, server, parts) {
                 answer.gathered.push(encode_server(digest));
             }
         }
--- a/crates/verbenahinge/src/gateway/relay.rs
+++ b/crates/verbenahinge/src/gateway/relay.rs
@@ -152,7 +152,7 @@
     let stall = stall_of(flight);
     let first_stall = stall + choice.expected_wait.mul_f64(FIRST_EVENT_FACTOR);
     let until = flight.until();
-    let opening = gateway.open_answer(&flight.call, &flight.request, server, last_event, until);
+    let opening = gateway.open_answer(&flight.call, &flight.request, choice, last_event, until);
     tokio::pin!(opening);
     let answer = loop {
         match actix_rt::time::timeout(first_stall, &mut opening).await {
