feat(core): tiers hold among equal accounts, and long prompts leave room for urgent ones

The log with priorities showed 1 for every request: all client accounts of that deployment have rank 1, which replaced the rank of the route, so that neither engines nor placement told kinds apart. Lockscans queued 1.8 s of reading at each engine, and notesum has 0.6 s. Change: the rank of an account goes before that of the route, and equal accounts go by route; engines get the place of a rank among those of the configuration. A prompt does not queue behind others at an engine beyond 0.75 of the target of more urgent prompts that arrived lately.

--- a/crates/verbenahinge-core/src/gateway.rs
+++ b/crates/verbenahinge-core/src/gateway.rs
@@ -34,7 +34,7 @@
 pub use self::registry::{Registry, RegistryChange, ServerEntry, ServerState};
 pub use self::retry_window::RetryWindow;
 pub use self::routing::{
-    Account, CallerLimits, EngineLimits, Route, RouteKind, RouteName, Routing, Service,
+    Account, CallerLimits, EngineLimits, Priority, Route, RouteKind, RouteName, Routing, Service,
     ServiceName, Share,
 };
 pub use self::state::{GatewayState, PeerDigest, ServerDigest};
--- a/crates/verbenahinge-core/src/gateway/call.rs
+++ b/crates/verbenahinge-core/src/gateway/call.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Account, Prompt, Route, ServiceName};
+use super::routing::priority_of;
+use super::{Account, Priority, Prompt, Route, ServiceName};
 use crate::{Fingerprint, Timestamp};
 
 /// Identifies a call within one process.
@@ -42,9 +43,9 @@
 impl Call {
     /// Rank of the request; the client account's goes before the route's.
     #[must_use]
-    pub fn priority(&self) -> u8 {
+    pub fn priority(&self) -> Priority {
         let account = self.account.as_ref().and_then(|account| account.priority);
-        account.unwrap_or(self.route.priority)
+        priority_of(account, self.route.priority)
     }
 
     /// Time that is left at a moment.
--- a/crates/verbenahinge-core/src/gateway/placement.rs
+++ b/crates/verbenahinge-core/src/gateway/placement.rs
@@ -57,6 +57,10 @@
 /// Part of the patience of a caller within which the first event has to be expected at all.
 const PATIENCE_PART: f64 = 0.7;
 
+/// Part of the target of more urgent prompts that others may queue before them at an engine; the
+/// rest is for reading their own.
+const URGENT_ROOM_PART: f64 = 0.75;
+
 /// Cost of a plain request in flight, against a server that fails all its requests.
 const ERROR_COST_REQUESTS: f64 = 8.0;
 
@@ -90,6 +94,8 @@
     TooLate(Duration),
     /// All places are taken.
     Full,
+    /// What waits to be read leaves room for more urgent prompts only; the least wait.
+    Yields(Duration),
 }
 
 /// A backend server that may be chosen.
@@ -112,6 +118,8 @@
     pub engine: Option<EngineLimits>,
     /// Engines that are kept for interactive streams.
     pub interactive_engines: usize,
+    /// Shortest target of more urgent prompts that arrive at the service and wait for reads.
+    pub urgent_target: Option<Duration>,
 }
 
 impl Placement<'_> {
@@ -234,6 +242,7 @@
         let admitted_wait = self.admitted_wait(call);
         let mut best: Option<(f64, Choice)> = None;
         let mut least_wait = Duration::MAX;
+        let mut yields = false;
         for candidate in candidates {
             let in_lane = lane.contains(&candidate.entry.id) == interactive;
             let is_home = home.as_ref() == Some(&candidate.entry.id);
@@ -244,6 +253,10 @@
             if choice.expected_wait > admitted_wait {
                 continue;
             }
+            if self.takes_urgent_room(candidate.backend, &choice) {
+                yields = true;
+                continue;
+            }
             if !in_lane {
                 cost += LANE_COST;
             }
@@ -254,10 +267,25 @@
         match best {
             Some((cost, choice)) if cost < FULL_COST => Ok(choice),
             Some(_) => Err(NoChoice::Full),
+            None if yields => Err(NoChoice::Yields(least_wait)),
             None => Err(NoChoice::TooLate(least_wait)),
         }
     }
 
+    /// Says whether a prompt would make more urgent ones late that come after it.
+    ///
+    /// Engines read prompts in the order in which they came, whatever their priority. An engine
+    /// that has nothing to read takes a prompt of any length.
+    fn takes_urgent_room(&self, backend: &Backend, choice: &Choice) -> bool {
+        let Some(target) = self.urgent_target else {
+            return false;
+        };
+        let ahead = backend.backlog_tokens();
+        let queued_ms = (ahead + choice.read_cost) / backend.read_rate();
+        let room_ms = target.as_secs_f64() * 1000.0 * URGENT_ROOM_PART;
+        ahead > 0.0 && queued_ms > room_ms
+    }
+
     /// Longest wait for the first event with which a call is admitted.
     ///
     /// Under lasting overload, admitting more only makes everyone late, so that a new request has
--- a/crates/verbenahinge-core/src/gateway/routing.rs
+++ b/crates/verbenahinge-core/src/gateway/routing.rs
@@ -1,6 +1,6 @@
 //! Routes, services and client accounts of one version of the configuration.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,6 +9,25 @@
 use crate::hash::mix64;
 use crate::{AccountName, ConfigVersion};
 
+/// Rank of a request among all of one configuration; 0 is the most urgent.
+pub type Priority = u8;
+
+/// Ranks that routes have below one rank of client accounts.
+const ROUTE_RANKS: u8 = 10;
+
+/// Largest rank of client accounts that is told apart.
+const ACCOUNT_RANK_MAX: u8 = 24;
+
+/// Puts the rank of a client account before that of a route.
+///
+/// Accounts without a rank of their own stand where their route does, and equal accounts go by
+/// their routes.
+#[must_use]
+pub(super) fn priority_of(account: Option<u8>, route: u8) -> Priority {
+    let route = route.min(ROUTE_RANKS - 1);
+    account.unwrap_or(route).min(ACCOUNT_RANK_MAX) * ROUTE_RANKS + route
+}
+
 /// Name of a route.
 pub type RouteName = Arc<str>;
 
@@ -147,6 +166,8 @@
     pub limits: Option<CallerLimits>,
     hosts: BTreeMap<String, BTreeMap<String, Arc<Route>>>,
     accounts_by_key: BTreeMap<String, Arc<Account>>,
+    route_ranks: BTreeSet<u8>,
+    account_ranks: BTreeSet<Option<u8>>,
 }
 
 impl Routing {
@@ -161,6 +182,10 @@
 
     /// Adds a route for a host and a path prefix that begins and ends with a slash.
     pub fn add_route(&mut self, host: &str, prefix: &str, route: Route) {
+        self.route_ranks.insert(route.priority);
+        if route.public {
+            self.account_ranks.insert(None);
+        }
         self.hosts
             .entry(host.to_ascii_lowercase())
             .or_default()
@@ -169,9 +194,27 @@
 
     /// Adds an API key of a client account.
     pub fn add_key(&mut self, key: &str, account: Arc<Account>) {
+        self.account_ranks.insert(account.priority);
         self.accounts_by_key.insert(key.to_owned(), account);
     }
 
+    /// Place of a priority among all that requests of this version can have, the first being 0.
+    ///
+    /// Engines tell few ranks apart, so that those that nobody has must not use any up.
+    #[must_use]
+    pub fn place_of(&self, priority: Priority) -> usize {
+        let mut before = BTreeSet::new();
+        for &account in self.account_ranks.iter().chain([&None]) {
+            if account.is_none() && self.has_accounts() && !self.account_ranks.contains(&None) {
+                continue;
+            }
+            for &route in &self.route_ranks {
+                before.insert(priority_of(account, route));
+            }
+        }
+        before.range(..priority).count()
+    }
+
     /// Says whether requests need an API key at all.
     #[must_use]
     pub fn has_accounts(&self) -> bool {
--- a/crates/verbenahinge-core/src/gateway/state.rs
+++ b/crates/verbenahinge-core/src/gateway/state.rs
@@ -30,6 +30,10 @@
 /// Part by which demand has to fall below a bound before an engine is given back.
 const GIVE_BACK_PART: f64 = 0.7;
 
+/// Time for which prompts of a priority are expected to go on arriving; a VM of a large fleet gets
+/// about one a second of each kind.
+const URGENT_TTL: Duration = Duration::from_secs(5);
+
 /// Load that one VM puts on one server, as it tells other VMs.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ServerDigest {
@@ -52,6 +56,13 @@
     pub crashes: Vec<(Fingerprint, Vec<CrashId>)>,
 }
 
+/// Prompts of one priority that arrive and are not interactive.
+#[derive(Clone, Copy, Debug)]
+struct Urgent {
+    seen: Timestamp,
+    target: Duration,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Peer {
     seen: Timestamp,
@@ -75,6 +86,7 @@
     interactive_tokens_s: f64,
     interactive_at: Timestamp,
     lane: BTreeMap<ServiceName, usize>,
+    urgent: BTreeMap<ServiceName, BTreeMap<u8, Urgent>>,
 }
 
 impl GatewayState {
@@ -96,6 +108,7 @@
             interactive_tokens_s: 0.0,
             interactive_at: Duration::ZERO,
             lane: BTreeMap::new(),
+            urgent: BTreeMap::new(),
         }
     }
 
@@ -204,7 +217,12 @@
             .entry(call.service.clone())
             .or_insert_with(|| RetryWindow::new(self.bounds))
             .note_request(now);
-        let interactive = self.placement(now, &call.service).is_interactive(call);
+        let interactive = self.placement(now, call).is_interactive(call);
+        if call.prompt.is_some() && !interactive {
+            let target = call.route.target;
+            let seen = self.urgent.entry(call.service.clone()).or_default();
+            seen.insert(call.priority(), Urgent { seen: now, target });
+        }
         if let (true, Some(prompt)) = (interactive, &call.prompt) {
             let decay = decay(now.saturating_sub(self.interactive_at));
             self.interactive_at = now;
@@ -213,15 +231,23 @@
         }
     }
 
-    fn placement(&self, now: Timestamp, service: &str) -> Placement<'_> {
+    fn placement(&self, now: Timestamp, call: &Call) -> Placement<'_> {
+        let service = &call.service;
         let declared = self
             .routing
             .as_ref()
             .and_then(|routing| routing.services.get(service));
+        let urgent = self.urgent.get(service).into_iter().flatten();
+        let urgent = urgent
+            .filter(|(priority, urgent)| {
+                **priority < call.priority() && urgent.seen + URGENT_TTL > now
+            })
+            .map(|(_, urgent)| urgent.target);
         Placement {
             now,
             availability_zone: &self.availability_zone,
             engine: declared.and_then(|service| service.engine),
+            urgent_target: urgent.min(),
             interactive_engines: self.lane.get(service).copied().unwrap_or(1),
         }
     }
@@ -239,7 +265,7 @@
     ) -> Result<Choice, NoChoice> {
         self.size_lane(now, call);
         let candidates = self.candidates(call, tried);
-        self.placement(now, &call.service).choose(call, &candidates)
+        self.placement(now, call).choose(call, &candidates)
     }
 
     /// Chooses for a call among some backend servers, whose load was asked for.
@@ -255,14 +281,14 @@
     ) -> Result<Choice, NoChoice> {
         let mut candidates = self.candidates(call, &[]);
         candidates.retain(|candidate| asked.contains(&candidate.entry.id));
-        self.placement(now, &call.service).choose(call, &candidates)
+        self.placement(now, call).choose(call, &candidates)
     }
 
     /// Engines that a call should be placed on, the best first, by its prompt alone.
     pub fn rank(&mut self, now: Timestamp, call: &Call, tried: &[ServerName]) -> Vec<ServerName> {
         self.size_lane(now, call);
         let candidates = self.candidates(call, tried);
-        self.placement(now, &call.service).rank(call, &candidates)
+        self.placement(now, call).rank(call, &candidates)
     }
 
     fn candidates<'a>(&'a self, call: &'a Call, tried: &[ServerName]) -> Vec<Candidate<'a>> {
--- a/crates/verbenahinge/src/gateway/attempt.rs
+++ b/crates/verbenahinge/src/gateway/attempt.rs
@@ -95,6 +95,12 @@
     ) -> Result<OpenAnswer, AttemptError> {
         let failed = AttemptError::Failed;
         let server = &choice.server;
+        let priority = call.prompt.as_ref().map(|_| {
+            let state = self.state.borrow();
+            let priority = call.priority();
+            let routing = state.routing();
+            routing.map_or(usize::from(priority), |routing| routing.place_of(priority))
+        });
         let (entry, copy_from) = {
             let state = self.state.borrow();
             let source = choice.copy_from.as_ref();
@@ -122,7 +128,7 @@
                 time_left,
                 server,
                 account: call.account.as_ref().map(|account| &*account.name),
-                priority: call.prompt.as_ref().map(|_| call.priority()),
+                priority,
                 copy_from,
                 last_event,
             };
--- a/crates/verbenahinge/src/gateway/flight.rs
+++ b/crates/verbenahinge/src/gateway/flight.rs
@@ -283,7 +283,9 @@
     pub(crate) fn refuse(self, reason: NoChoice) -> CallerAnswer {
         let excess = match reason {
             NoChoice::NoServer => NO_SERVER_PAUSE,
-            NoChoice::TooLate(wait) => wait.saturating_sub(self.call.route.target),
+            NoChoice::TooLate(wait) | NoChoice::Yields(wait) => {
+                wait.saturating_sub(self.call.route.target)
+            }
             NoChoice::Full => RETRY_AFTER_MIN,
         };
         if self.verdict == Verdict::MayHaveRun {
@@ -382,6 +384,7 @@
             ("first_ms", &first.as_millis()),
             ("total_ms", &total.as_millis()),
             ("expected_ms", &expected_wait.as_millis()),
+            ("priority", &self.call.priority()),
             ("read_tokens", &format!("{read_cost:.0}")),
             ("copy_from", &copy_from.unwrap_or("-")),
             ("prompt", &format!("{prompt:x}")),
