--- a/crates/verbenahinge-core/src/gateway/placement.rs
+++ b/crates/verbenahinge-core/src/gateway/placement.rs
@@ -243,11 +243,12 @@
         let mut best: Option<(f64, Choice)> = None;
         let mut least_wait = Duration::MAX;
         let mut yields = false;
+        let mut full = false;
         for candidate in candidates {
             let in_lane = lane.contains(&candidate.entry.id) == interactive;
             let is_home = home.as_ref() == Some(&candidate.entry.id);
             let copied = self.copy_source(call, candidate, candidates, engine);
-            let (mut cost, choice) =
+            let (mut cost, is_full, choice) =
                 self.engine_cost(call, candidate, engine, interactive, is_home, copied);
             least_wait = least_wait.min(choice.expected_wait);
             if choice.expected_wait > admitted_wait {
@@ -257,6 +258,10 @@
                 yields = true;
                 continue;
             }
+            if is_full {
+                full = true;
+                continue;
+            }
             if !in_lane {
                 cost += LANE_COST;
             }
@@ -265,8 +270,8 @@
             }
         }
         match best {
-            Some((cost, choice)) if cost < FULL_COST => Ok(choice),
-            Some(_) => Err(NoChoice::Full),
+            Some((_, choice)) => Ok(choice),
+            None if full => Err(NoChoice::Full),
             None if yields => Err(NoChoice::Yields(least_wait)),
             None => Err(NoChoice::TooLate(least_wait)),
         }
@@ -321,7 +326,7 @@
         interactive: bool,
         is_home: bool,
         copied: Option<Copied>,
-    ) -> (f64, Choice) {
+    ) -> (f64, bool, Choice) {
         let backend = candidate.backend;
         let mut read_cost = self.read_cost(call, backend, is_home);
         let rate = backend.read_rate();
@@ -341,7 +346,6 @@
         let target_ms = call.route.target.as_secs_f64() * 1000.0;
         let waited = wait_ms / target_ms.max(1.0);
         let mut cost = ((waited - WAIT_FREE) / (1.0 - WAIT_FREE)).max(0.0);
-        cost += READ_SECOND_COST * (read_cost / rate + copy_ms) / 1000.0;
         if interactive {
             let pressed = backend.backlog_tokens() / QUIET_READ_TOKENS;
             cost += LATE_COST * pressed.min(1.0);
@@ -360,6 +364,8 @@
         if no_slot || (running > 0 && memory > capacity * MEMORY_PART) {
             cost += FULL_COST;
         }
+        let is_full = cost >= FULL_COST;
+        cost += READ_SECOND_COST * (read_cost / rate + copy_ms) / 1000.0;
         // Spreads interactive streams over their engines.
         cost += 0.2 * f64::from(running) / f64::from(slots);
         let choice = Choice {
@@ -369,7 +375,7 @@
             copy_from,
             interactive,
         };
-        (cost, choice)
+        (cost, is_full, choice)
     }
 
     /// Says whether some engine is known to have the shared parts of a prompt.
