perf(gateway): two engines are asked for their load instead of three

Cause: engines of the grown fleets have memory for about thirty different subjects beside what runs; each engine more over which a subject spreads pushes others out, and they are read again (copying finds them gone as well).

--- a/crates/verbenahinge/src/gateway/flight.rs
+++ b/crates/verbenahinge/src/gateway/flight.rs
@@ -19,8 +19,8 @@
 /// Time after which a caller is asked to come back when no server can be used.
 const NO_SERVER_PAUSE: Duration = Duration::from_millis(400);
 
-/// Servers whose load is asked for at first; of three, one is mostly free enough.
-const ASKED_SERVERS: usize = 3;
+/// Servers whose load is asked for at first; more would each need the shared parts in memory.
+const ASKED_SERVERS: usize = 2;
 
 /// Times that the load of more servers is asked for.
 const ASK_ROUNDS: usize = 1;
