test(testkit): the loopback proxy passes resets on

The proxy closed the connection to the router where the server had reset it, and an answer without a length that ends with a close is whole by the protocol. The router was right; its test without a proxy (gateway_answers) holds. Change: a reset of one side resets the other.

--- a/crates/verbenahinge-testkit/src/proxy.rs
+++ b/crates/verbenahinge-testkit/src/proxy.rs
@@ -109,8 +109,8 @@
     let (mut from_caller, mut to_caller) = caller.into_split();
     let (mut from_server, mut to_server) = server.into_split();
     let was_reset = tokio::select! {
-        () = pump(&mut from_caller, &mut to_server, shared, epoch, false) => false,
-        () = pump(&mut from_server, &mut to_caller, shared, epoch, true) => false,
+        was_reset = pump(&mut from_caller, &mut to_server, shared, epoch, false) => was_reset,
+        was_reset = pump(&mut from_server, &mut to_caller, shared, epoch, true) => was_reset,
         () = wait_reset(shared) => true,
     };
     if was_reset {
@@ -134,20 +134,21 @@
     drop(stream.set_zero_linger());
 }
 
+/// Passes bytes on until one side ends; says whether it was reset, which is passed on as well.
 async fn pump(
     from: &mut tokio::net::tcp::OwnedReadHalf,
     to: &mut tokio::net::tcp::OwnedWriteHalf,
     shared: &Shared,
     epoch: u64,
     is_answer: bool,
-) {
+) -> bool {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let Ok(length) = from.read(&mut buffer).await else {
-            return;
+            return true;
         };
         if length == 0 {
-            return;
+            return false;
         }
         loop {
             let changed = shared.changed.notified();
@@ -166,7 +167,7 @@
             actix_rt::time::sleep(delay).await;
         }
         if to.write_all(&buffer[..length]).await.is_err() {
-            return;
+            return true;
         }
     }
 }
