test(testkit): a reset through the proxy is no orderly end

A dropped write half shuts its connection down first, so that every reset of the proxy began with an orderly end, Harm::Reset and reset_open included. Change: the halves are given up without a shutdown; the soak prints the answer that broke a promise.

--- a/crates/verbenahinge-testkit/src/proxy.rs
+++ b/crates/verbenahinge-testkit/src/proxy.rs
@@ -116,6 +116,9 @@
     if was_reset {
         reset(to_caller.as_ref());
         reset(to_server.as_ref());
+        // Dropped otherwise, they would end the connections in good order first.
+        to_caller.forget();
+        to_server.forget();
     }
 }
 
--- a/crates/verbenahinge/tests/fault_soak.rs
+++ b/crates/verbenahinge/tests/fault_soak.rs
@@ -362,12 +362,12 @@
         let none = Vec::new();
         let runs = runs.get(&exchange.id).unwrap_or(&none);
         if let Some(promise) = broken_promise(exchange, runs) {
-            let status = exchange.answer.as_ref().map(|answer| answer.status);
             broken.push(format!(
-                "request {} to {}: {promise}; status {status:?}, {} runs",
+                "request {} to {}: {promise}; {} runs, {:?}",
                 exchange.id,
                 exchange.path,
-                runs.len()
+                runs.len(),
+                exchange.answer
             ));
         }
     }
