--- a/crates/verbenahinge-core/src/gateway/placement.rs
+++ b/crates/verbenahinge-core/src/gateway/placement.rs
@@ -9,10 +9,13 @@
 //! Load pattern for plain services: few slots, short work, some servers that fail part of their
 //! requests or turn slow; the request goes to the least loaded server of those that answer well.
 
+mod reading;
+
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::{Backend, Call, EngineLimits, Prompt, PromptPart, ServerEntry};
+use self::reading::PlannedRead;
+use super::{Backend, Call, EngineLimits, ServerEntry};
 use crate::hash::{hash64, mix64};
 use crate::{ServerName, Timestamp};
 
@@ -28,13 +31,6 @@
 /// Cost of a second of an engine's reading time, which others then wait for, in requests.
 const READ_SECOND_COST: f64 = 5.0;
 
-/// Part of the shared tokens that the first choice of a prompt is expected to have cached.
-const HOME_CACHED: f64 = 0.9;
-
-/// Shared tokens from which copying what another engine has read is faster than reading; a copy
-/// takes some milliseconds to set up.
-const COPY_MIN_TOKENS: u32 = 1000;
-
 /// Cost of leaving the engines that are meant for the kind of request.
 const LANE_COST: f64 = 0.5;
 
@@ -247,9 +243,9 @@
         for candidate in candidates {
             let in_lane = lane.contains(&candidate.entry.id) == interactive;
             let is_home = home.as_ref() == Some(&candidate.entry.id);
-            let copied = self.copy_source(call, candidate, candidates, engine);
+            let read = self.plan_read(call, candidate, candidates, engine, is_home);
             let (mut cost, is_full, choice) =
-                self.engine_cost(call, candidate, engine, interactive, is_home, copied);
+                engine_cost(call, candidate, engine, interactive, read);
             least_wait = least_wait.min(choice.expected_wait);
             if choice.expected_wait > admitted_wait {
                 continue;
@@ -317,160 +313,6 @@
             .map(|(_, id)| id.clone())
             .collect()
     }
-
-    fn engine_cost(
-        &self,
-        call: &Call,
-        candidate: &Candidate,
-        engine: EngineLimits,
-        interactive: bool,
-        is_home: bool,
-        copied: Option<Copied>,
-    ) -> (f64, bool, Choice) {
-        let backend = candidate.backend;
-        let mut read_cost = self.read_cost(call, backend, is_home);
-        let rate = backend.read_rate();
-        let mut copy_ms = 0.0;
-        let mut copy_from = None;
-        if let Some(copied) = copied {
-            let rest = self.rest_cost(call, copied.tokens);
-            if copied.time_ms + rest / rate < read_cost / rate {
-                read_cost = rest;
-                copy_ms = copied.time_ms;
-                copy_from = Some(copied.from);
-            }
-        }
-        // The copy is made while the prompts before are read.
-        let ahead_ms = (backend.read_ahead(call.priority()) / rate).max(copy_ms);
-        let wait_ms = ahead_ms + read_cost / rate;
-        let target_ms = call.route.target.as_secs_f64() * 1000.0;
-        let waited = wait_ms / target_ms.max(1.0);
-        let mut cost = ((waited - WAIT_FREE) / (1.0 - WAIT_FREE)).max(0.0);
-        if interactive {
-            let pressed = backend.backlog_tokens() / QUIET_READ_TOKENS;
-            cost += LATE_COST * pressed.min(1.0);
-        } else {
-            let harmed = f64::from(backend.interactive());
-            cost += LATE_COST * harmed * (read_cost / QUIET_READ_TOKENS).min(1.0) * 0.5;
-        }
-        cost += backend.error_share();
-        let running = backend.running();
-        let slots = candidate.entry.slots.max(1);
-        let memory = f64::from(backend.memory_tokens());
-        let capacity = f64::from(u32::try_from(engine.memory_tokens).unwrap_or(u32::MAX));
-        // Urgent requests are begun before others that wait for a slot.
-        let no_slot = backend.running_until(call.priority()) >= slots
-            || running >= slots.saturating_add(slots / URGENT_SLOTS_PART);
-        if no_slot || (running > 0 && memory > capacity * MEMORY_PART) {
-            cost += FULL_COST;
-        }
-        let is_full = cost >= FULL_COST;
-        cost += READ_SECOND_COST * (read_cost / rate + copy_ms) / 1000.0;
-        // Spreads interactive streams over their engines.
-        cost += 0.2 * f64::from(running) / f64::from(slots);
-        let choice = Choice {
-            server: candidate.entry.id.clone(),
-            read_cost,
-            expected_wait: Duration::from_secs_f64(wait_ms / 1000.0),
-            copy_from,
-            interactive,
-        };
-        (cost, is_full, choice)
-    }
-
-    /// Says whether some engine is known to have the shared parts of a prompt.
-    fn is_known(&self, call: &Call, candidates: &[Candidate]) -> bool {
-        let Some(prompt) = &call.prompt else {
-            return false;
-        };
-        let shared = prompt.shared_tokens();
-        candidates
-            .iter()
-            .any(|candidate| self.cached_tokens(prompt, candidate.backend) >= shared)
-    }
-
-    /// Finds the engine that the shared parts of a prompt can be copied from.
-    fn copy_source(
-        &self,
-        call: &Call,
-        candidate: &Candidate,
-        candidates: &[Candidate],
-        engine: EngineLimits,
-    ) -> Option<Copied> {
-        let token_copy = engine.token_copy?;
-        let prompt = call.prompt.as_ref()?;
-        let shared = prompt.shared_tokens();
-        let cached = self.cached_tokens(prompt, candidate.backend);
-        let missing = shared.saturating_sub(cached);
-        if missing < COPY_MIN_TOKENS {
-            return None;
-        }
-        let mut source: Option<&Candidate> = None;
-        for other in candidates {
-            let has_read = |part: &PromptPart| {
-                other
-                    .backend
-                    .part(self.now, part.id)
-                    .is_some_and(|state| state.is_read())
-            };
-            if other.entry.id == candidate.entry.id || !prompt.shared_parts().iter().all(has_read) {
-                continue;
-            }
-            // The least busy one has the most room on its link.
-            let load = other.backend.running();
-            if source.is_none_or(|best| load < best.backend.running()) {
-                source = Some(other);
-            }
-        }
-        let from = source?.entry.id.clone();
-        Some(Copied {
-            from,
-            tokens: f64::from(shared),
-            time_ms: f64::from(missing) * token_copy.as_secs_f64() * 1000.0,
-        })
-    }
-
-    fn cached_tokens(&self, prompt: &Prompt, backend: &Backend) -> u32 {
-        let mut cached = 0;
-        for part in &prompt.parts {
-            if backend.part(self.now, part.id).is_none() {
-                break;
-            }
-            cached += part.tokens;
-        }
-        cached
-    }
-
-    /// Cost of reading what follows the given part of a prompt.
-    fn rest_cost(&self, call: &Call, present: f64) -> f64 {
-        let whole = call
-            .prompt
-            .as_ref()
-            .map_or(0.0, |prompt| f64::from(prompt.prompt_tokens));
-        Backend::read_cost_of(whole, (whole - present).max(0.0))
-    }
-
-    fn read_cost(&self, call: &Call, backend: &Backend, is_home: bool) -> f64 {
-        let Some(prompt) = &call.prompt else {
-            return 0.0;
-        };
-        let cached = self.cached_tokens(prompt, backend);
-        let shared = prompt.shared_tokens();
-        let mut uncached = f64::from(prompt.prompt_tokens.saturating_sub(cached));
-        if is_home && cached < shared {
-            uncached -= HOME_CACHED * f64::from(shared - cached);
-        }
-        let uncached = uncached.max(0.0);
-        let whole = f64::from(prompt.prompt_tokens);
-        Backend::read_cost_of(whole, uncached)
-    }
-}
-
-/// Parts of a prompt that an engine can copy from another one.
-struct Copied {
-    from: ServerName,
-    tokens: f64,
-    time_ms: f64,
 }
 
 /// First choice for a prompt among the engines that are meant for its kind.
@@ -494,3 +336,56 @@
     }
     best.map(|(_, id)| id.clone())
 }
+
+/// Cost of a prompt at an engine, whether the engine is full, and what is expected there.
+fn engine_cost(
+    call: &Call,
+    candidate: &Candidate,
+    engine: EngineLimits,
+    interactive: bool,
+    read: PlannedRead,
+) -> (f64, bool, Choice) {
+    let backend = candidate.backend;
+    let rate = backend.read_rate();
+    let PlannedRead {
+        read_cost,
+        copy_ms,
+        copy_from,
+    } = read;
+    // The copy is made while the prompts before are read.
+    let ahead_ms = (backend.read_ahead(call.priority()) / rate).max(copy_ms);
+    let wait_ms = ahead_ms + read_cost / rate;
+    let target_ms = call.route.target.as_secs_f64() * 1000.0;
+    let waited = wait_ms / target_ms.max(1.0);
+    let mut cost = ((waited - WAIT_FREE) / (1.0 - WAIT_FREE)).max(0.0);
+    if interactive {
+        let pressed = backend.backlog_tokens() / QUIET_READ_TOKENS;
+        cost += LATE_COST * pressed.min(1.0);
+    } else {
+        let harmed = f64::from(backend.interactive());
+        cost += LATE_COST * harmed * (read_cost / QUIET_READ_TOKENS).min(1.0) * 0.5;
+    }
+    cost += backend.error_share();
+    let running = backend.running();
+    let slots = candidate.entry.slots.max(1);
+    let memory = f64::from(backend.memory_tokens());
+    let capacity = f64::from(u32::try_from(engine.memory_tokens).unwrap_or(u32::MAX));
+    // Urgent requests are begun before others that wait for a slot.
+    let no_slot = backend.running_until(call.priority()) >= slots
+        || running >= slots.saturating_add(slots / URGENT_SLOTS_PART);
+    if no_slot || (running > 0 && memory > capacity * MEMORY_PART) {
+        cost += FULL_COST;
+    }
+    let is_full = cost >= FULL_COST;
+    cost += READ_SECOND_COST * (read_cost / rate + copy_ms) / 1000.0;
+    // Spreads interactive streams over their engines.
+    cost += 0.2 * f64::from(running) / f64::from(slots);
+    let choice = Choice {
+        server: candidate.entry.id.clone(),
+        read_cost,
+        expected_wait: Duration::from_secs_f64(wait_ms / 1000.0),
+        copy_from,
+        interactive,
+    };
+    (cost, is_full, choice)
+}
--- a/crates/verbenahinge/tests/fault_soak.rs
+++ b/crates/verbenahinge/tests/fault_soak.rs
@@ -80,7 +80,7 @@
     caller: u64,
     seed: u64,
     listens: &[std::net::SocketAddr],
-    seen: &RefCell<Vec<Seen>>,
+    exchanges: &RefCell<Vec<Seen>>,
     is_over: &Cell<bool>,
 ) {
     let dice = Dice::new(mix64(seed, 1000 + caller));
@@ -111,7 +111,7 @@
             }
             answer
         });
-        seen.borrow_mut().push(Seen { id, path, answer });
+        exchanges.borrow_mut().push(Seen { id, path, answer });
         actix_rt::time::sleep(Duration::from_millis(dice.below(30))).await;
     }
 }
@@ -336,13 +336,14 @@
     let listens: Vec<_> = (0..usize::from(VMS))
         .map(|vm| soak.fleet.listen(vm))
         .collect();
-    let seen = Rc::new(RefCell::new(Vec::new()));
+    let exchanges = Rc::new(RefCell::new(Vec::new()));
     let is_over = Rc::new(Cell::new(false));
     let mut callers = Vec::new();
     for caller in 0..CALLERS {
-        let (listens, seen, is_over) = (listens.clone(), Rc::clone(&seen), Rc::clone(&is_over));
+        let (listens, exchanges, is_over) =
+            (listens.clone(), Rc::clone(&exchanges), Rc::clone(&is_over));
         callers.push(actix_rt::spawn(async move {
-            call_on(caller, seed, &listens, &seen, &is_over).await;
+            call_on(caller, seed, &listens, &exchanges, &is_over).await;
         }));
     }
     let mut story = Vec::new();
@@ -358,7 +359,7 @@
     // What was sent on before its caller went may run for a moment longer.
     actix_rt::time::sleep(Duration::from_millis(500)).await;
     let runs = soak.runs().await;
-    for exchange in seen.borrow().iter() {
+    for exchange in exchanges.borrow().iter() {
         let none = Vec::new();
         let runs = runs.get(&exchange.id).unwrap_or(&none);
         if let Some(promise) = broken_promise(exchange, runs) {
