--- a/crates/verbenahinge-core/src/gateway/backend.rs
+++ b/crates/verbenahinge-core/src/gateway/backend.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use super::number::to_u32;
-use super::{Call, CallId, PartCache, PartId, PartState};
+use super::{Call, CallId, PartCache, PartId, PartState, Priority};
 use crate::{FailureKind, Timestamp, VmId};
 
 /// Reading speed of an engine before any first token has been measured, in tokens per ms.
@@ -94,7 +94,7 @@
     /// Tokens that its requests hold in memory.
     pub memory_tokens: u32,
     /// Requests and what is yet to be read of them, by priority.
-    pub reading: BTreeMap<u8, Reading>,
+    pub reading: BTreeMap<Priority, Reading>,
     /// Shared parts of prompts that the server has, of those that the teller knows to matter.
     pub parts: BTreeMap<PartId, PartState>,
     /// Load that the server told it last, if that was since the digest before.
@@ -121,7 +121,7 @@
 #[derive(Clone, Debug)]
 struct InFlight {
     sent: Timestamp,
-    priority: u8,
+    priority: Priority,
     read_tokens: u32,
     read_ahead: f64,
     memory_tokens: u32,
@@ -379,8 +379,8 @@
         parts
     }
 
-    fn own_reading(&self) -> BTreeMap<u8, Reading> {
-        let mut reading: BTreeMap<u8, Reading> = BTreeMap::new();
+    fn own_reading(&self) -> BTreeMap<Priority, Reading> {
+        let mut reading: BTreeMap<Priority, Reading> = BTreeMap::new();
         for request in self.in_flight.values() {
             let is_reading = u32::from(request.reading);
             reading.entry(request.priority).or_default().add(Reading {
@@ -392,7 +392,7 @@
         reading
     }
 
-    fn reading_until(&self, priority: u8) -> Reading {
+    fn reading_until(&self, priority: Priority) -> Reading {
         let mut total = Reading::default();
         for (_, &reading) in self.own_reading().range(..=priority) {
             total.add(reading);
@@ -407,20 +407,20 @@
 
     /// Requests in flight that are as urgent as the given priority or more, of all VMs.
     #[must_use]
-    pub fn running_until(&self, priority: u8) -> u32 {
+    pub fn running_until(&self, priority: Priority) -> u32 {
         self.reading_until(priority).running
     }
 
     /// Tokens that are read before those of a new request of the given priority.
     #[must_use]
-    pub fn read_ahead(&self, priority: u8) -> f64 {
+    pub fn read_ahead(&self, priority: Priority) -> f64 {
         self.reading_until(priority).left()
     }
 
     /// Tokens that wait to be read, of all priorities.
     #[must_use]
     pub fn backlog_tokens(&self) -> f64 {
-        self.read_ahead(u8::MAX)
+        self.read_ahead(Priority::MAX)
     }
 
     /// Reading speed of the engine, in tokens per ms.
--- a/crates/verbenahinge-core/src/gateway/state.rs
+++ b/crates/verbenahinge-core/src/gateway/state.rs
@@ -8,7 +8,7 @@
 use super::placement::Candidate;
 use super::{
     Backend, Bounds, Call, CallId, Choice, CrashGuard, LoadReport, NoChoice, PartId, PeerLoad,
-    Placement, Registry, RegistryChange, RetryWindow, Routing, ServerEntry, ServiceName,
+    Placement, Priority, Registry, RegistryChange, RetryWindow, Routing, ServerEntry, ServiceName,
 };
 use crate::hash::hash64;
 use crate::{
@@ -86,7 +86,7 @@
     interactive_tokens_s: f64,
     interactive_at: Timestamp,
     lane: BTreeMap<ServiceName, usize>,
-    urgent: BTreeMap<ServiceName, BTreeMap<u8, Urgent>>,
+    urgent: BTreeMap<ServiceName, BTreeMap<Priority, Urgent>>,
 }
 
 impl GatewayState {
