--- a/crates/verbenahinge-core/src/gateway/placement.rs
+++ b/crates/verbenahinge-core/src/gateway/placement.rs
@@ -275,8 +275,8 @@
 
     /// Says whether a prompt would make more urgent ones late that come after it.
     ///
-    /// Engines read prompts in the order in which they came, whatever their priority. An engine
-    /// that has nothing to read takes a prompt of any length.
+    /// Engines admit prompts by rank, but finish those that they have begun to read. An engine that
+    /// has nothing to read takes a prompt of any length.
     fn takes_urgent_room(&self, backend: &Backend, choice: &Choice) -> bool {
         let Some(target) = self.urgent_target else {
             return false;
