refactor(gateway): load and tables of peers in files of their own

Cause: peers.rs had 601 lines and three jobs: who the other VMs are, whose load is asked of whom, and which copies of tables they hand each other. Change: the load of large fleets goes to peers/load.rs, the tables to peers/feeds.rs; nothing else.

--- a/crates/verbenahinge/src/gateway/peers.rs
+++ b/crates/verbenahinge/src/gateway/peers.rs
@@ -1,5 +1,8 @@
 //! Digests between VMs, over UDP: losing one does no harm, since the next one says it all.
 
+mod feeds;
+mod load;
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
@@ -7,25 +10,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::Request;
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 use prost::Message as _;
-use strum::IntoEnumIterator;
 use tokio::net::UdpSocket;
-use tokio::sync::oneshot;
-use verbenahinge_core::gateway::{Call, Feed, PeerDigest, Prompt, ServerDigest};
-use verbenahinge_core::hash::{hash64, mix64};
-use verbenahinge_core::{ServerName, Timestamp};
+use verbenahinge_core::Timestamp;
+use verbenahinge_core::gateway::ServerDigest;
+use verbenahinge_core::hash::mix64;
 use verbenahinge_platform::node_file::VmSettings;
 
-use super::control::FEED_PATH;
-use super::peer_message::{
-    DeltaMessage, FeedMessage, PeerMessage, address_number, decode_server, encode_server,
-    feed_number, feed_of, pack_ip, unpack_ip,
-};
+pub(super) use self::feeds::{answer_feed, fetch_feed, push_news};
+use self::feeds::{feed_messages, take_feed};
+use self::load::{Question, take_question, tell_gatherers};
+pub(super) use self::load::{ask_load, tell_load};
+use super::peer_message::{PeerMessage, address_number, pack_ip, unpack_ip};
 use super::{Gateway, watch};
 use crate::event_log::LogEvent;
 
@@ -51,24 +47,9 @@
 /// Rounds after which VMs that are many tell each other what they know of the store.
 const GOSSIP_EVERY: u32 = 3;
 
-/// Time within which another VM tells gathered load; a few times the way there and back.
-const ANSWER_TIME: Duration = Duration::from_millis(15);
-
-/// Time for which a VM that did not tell gathered load is not asked again.
-const SLOW_TIME: Duration = Duration::from_secs(1);
-
 /// Largest datagram.
 const DATAGRAM_BYTES: usize = 16 << 10;
 
-/// Largest change that is told in a datagram; larger ones are read from the store.
-const DELTA_BYTES: usize = 1100;
-
-/// Time within which a VM answers.
-const ASK_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// Largest copy of a table that is read from another VM.
-const FEED_LIMIT_BYTES: usize = 8 << 20;
-
 #[derive(Clone, Copy, Debug)]
 struct Member {
     heard: Option<Timestamp>,
@@ -93,12 +74,6 @@
     slow: RefCell<BTreeMap<IpAddr, Timestamp>>,
 }
 
-/// A question to other VMs that is not answered by all of them yet.
-struct Question {
-    open: usize,
-    done: Option<oneshot::Sender<()>>,
-}
-
 impl Peers {
     /// Opens the socket; the seeds are the first VMs that are tried.
     pub(crate) async fn bind(settings: &VmSettings) -> io::Result<Self> {
@@ -204,20 +179,6 @@
             .count()
     }
 
-    /// VM that gathers the load of a server, the same on all VMs; `None` if it is this one.
-    fn gatherer(&self, now: Timestamp, server: u64) -> Option<IpAddr> {
-        let weight = |ip: IpAddr| mix64(server, address_number(ip));
-        let mut best = (weight(self.own_ip), None);
-        let slow = self.slow.borrow();
-        for (&ip, member) in self.members.borrow().iter() {
-            let is_slow = slow.get(&ip).is_some_and(|until| *until > now);
-            if !is_slow && member.is_live(now) && weight(ip) > best.0 {
-                best = (weight(ip), Some(ip));
-            }
-        }
-        best.1
-    }
-
     fn all(&self) -> Vec<IpAddr> {
         self.members.borrow().keys().copied().collect()
     }
@@ -245,26 +206,6 @@
     }
 }
 
-fn feed_messages(gateway: &Gateway) -> Vec<FeedMessage> {
-    let now = gateway.now();
-    let mut feeds = Vec::new();
-    for feed in Feed::iter() {
-        let (version, age) = gateway
-            .feeds
-            .with(feed, |copy| (copy.changed_at(), copy.age(now)));
-        let (Some(version), Some(age)) = (version, age) else {
-            continue;
-        };
-        feeds.push(FeedMessage {
-            feed: feed_number(feed),
-            version,
-            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
-            delta: None,
-        });
-    }
-    feeds
-}
-
 /// Sends digests for as long as the process lives.
 pub(super) async fn send(gateway: Rc<Gateway>) {
     let mut round = 0_u32;
@@ -304,147 +245,6 @@
     }
 }
 
-/// Tells the load on each server to the VM that gathers it.
-async fn tell_gatherers(gateway: &Gateway, now: Timestamp, servers: Vec<ServerDigest>) {
-    let mut by_vm: BTreeMap<IpAddr, Vec<ServerDigest>> = BTreeMap::new();
-    for server in servers {
-        if let Some(ip) = gateway.peers.gatherer(now, server.server) {
-            by_vm.entry(ip).or_default().push(server);
-        }
-    }
-    for (ip, servers) in by_vm {
-        let digest = PeerDigest {
-            servers,
-            ..gateway.state.borrow().own_digest(now)
-        };
-        let message = PeerMessage::new(digest, Vec::new(), Vec::new());
-        gateway.peers.send(&message, &[ip]).await;
-    }
-}
-
-/// Tells the load on one server to the VM that gathers it, right after it has changed.
-pub(super) fn tell_load(gateway: &Rc<Gateway>, server: &str) {
-    let now = gateway.now();
-    if !gateway.peers.is_large(now) {
-        return;
-    }
-    let load = gateway.state.borrow().own_load(server);
-    let gateway = Rc::clone(gateway);
-    actix_rt::spawn(async move {
-        tell_gatherers(&gateway, now, load.into_iter().collect()).await;
-    });
-}
-
-/// Asks the VMs that gather the load of some servers for it, and waits a moment for answers.
-pub(super) async fn ask_load(gateway: &Gateway, servers: &[ServerName], call: &Call) {
-    let now = gateway.now();
-    let mut by_vm: BTreeMap<IpAddr, Vec<u64>> = BTreeMap::new();
-    for server in servers {
-        let hash = hash64(server.as_bytes());
-        if let Some(ip) = gateway.peers.gatherer(now, hash) {
-            by_vm.entry(ip).or_default().push(hash);
-        }
-    }
-    if by_vm.is_empty() {
-        return;
-    }
-    let peers = &gateway.peers;
-    let question = peers.next_question.get() + 1;
-    peers.next_question.set(question);
-    let (done, answered) = oneshot::channel();
-    let open = by_vm.len();
-    let asked: Vec<IpAddr> = by_vm.keys().copied().collect();
-    peers.questions.borrow_mut().insert(
-        question,
-        Question {
-            open,
-            done: Some(done),
-        },
-    );
-    let shared = call.prompt.as_ref().map_or(&[][..], Prompt::shared_parts);
-    for (ip, servers) in by_vm {
-        let digest = gateway.state.borrow().own_digest(now);
-        let mut message = PeerMessage::new(digest, Vec::new(), Vec::new());
-        message.asked = servers;
-        message.asked_parts = shared.iter().map(|part| part.id).collect();
-        message.question = question;
-        peers.send(&message, &[ip]).await;
-    }
-    let in_time = actix_rt::time::timeout(ANSWER_TIME, answered).await;
-    peers.questions.borrow_mut().remove(&question);
-    if let ([only], true) = (asked.as_slice(), in_time.is_err()) {
-        peers.slow.borrow_mut().insert(*only, now + SLOW_TIME);
-    }
-}
-
-fn take_question(gateway: &Rc<Gateway>, from: IpAddr, message: &mut PeerMessage) {
-    let now = gateway.now();
-    let question = message.question;
-    for server in std::mem::take(&mut message.gathered) {
-        gateway
-            .state
-            .borrow_mut()
-            .note_gathered(now, decode_server(server));
-    }
-    if message.asked.is_empty() {
-        let mut questions = gateway.peers.questions.borrow_mut();
-        if let Some(waiting) = questions.get_mut(&question) {
-            waiting.open = waiting.open.saturating_sub(1);
-            if waiting.open == 0
-                && let Some(done) = waiting.done.take()
-                && done.send(()).is_err()
-            {
-                log::debug!("question {question} was given up");
-            }
-        }
-        return;
-    }
-    let mut answer = {
-        let state = gateway.state.borrow();
-        let mut answer = PeerMessage::new(state.own_digest(now), Vec::new(), Vec::new());
-        for server in std::mem::take(&mut message.asked) {
-            let parts = &message.asked_parts;
-            if let Some(digest) = state.gathered_for(now, message.vm, server, parts) {
-                answer.gathered.push(encode_server(digest));
-            }
-        }
-        answer
-    };
-    answer.question = question;
-    let gateway = Rc::clone(gateway);
-    actix_rt::spawn(async move { gateway.peers.send(&answer, &[from]).await });
-}
-
-/// Tells all VMs at once that a table has changed.
-pub(super) fn push_news(gateway: &Rc<Gateway>, feed: Feed, base: Option<u64>) {
-    let mut feeds = feed_messages(gateway);
-    let delta = base.and_then(|base| {
-        gateway
-            .feeds
-            .with(feed, |copy| copy.delta_since(Some(base)))
-    });
-    if let Some(delta) = delta.map(DeltaMessage::encode_delta)
-        && delta.encoded_len() <= DELTA_BYTES
-    {
-        for message in &mut feeds {
-            if message.feed == feed_number(feed) {
-                message.delta = Some(delta.clone());
-            }
-        }
-    }
-    let mut message = PeerMessage::new(
-        gateway.state.borrow().own_digest(gateway.now()),
-        feeds,
-        Vec::new(),
-    );
-    message.servers.clear();
-    let gateway = Rc::clone(gateway);
-    actix_rt::spawn(async move {
-        let receivers = gateway.peers.all();
-        gateway.peers.send(&message, &receivers).await;
-    });
-}
-
 /// Writes the address of this VM into the store once it watches for others.
 pub(super) fn announce_watcher(gateway: &Rc<Gateway>) {
     if !gateway.peers.is_announced.replace(true) {
@@ -521,81 +321,3 @@
     let gateway = Rc::clone(gateway);
     actix_rt::spawn(async move { gateway.peers.send(&message, &[to]).await });
 }
-
-fn take_feed(gateway: &Gateway, from: IpAddr, message: FeedMessage) {
-    let Some(feed) = feed_of(message.feed) else {
-        return;
-    };
-    let now = gateway.now();
-    let version = message.version;
-    if let Some(delta) = message.delta {
-        watch::take_delta(gateway, feed, &delta.into_delta());
-    }
-    if gateway.feeds.with(feed, |copy| copy.is_behind(version)) {
-        gateway.feeds.fall_behind(feed, from, version);
-    }
-    let age = Duration::from_millis(u64::from(message.age_ms));
-    gateway
-        .feeds
-        .with(feed, |copy| copy.confirm(now, version, age));
-}
-
-/// Reads a table from a VM that has a newer copy.
-pub(super) async fn fetch_feed(gateway: &Gateway, from: IpAddr, feed: Feed) {
-    let control = gateway.settings.borrow().control_listen;
-    let Some(control) = control else {
-        return;
-    };
-    let address = SocketAddr::from((from, control.port()));
-    let own = gateway.feeds.with(feed, |copy| copy.seen_until());
-    let number = feed_number(feed);
-    let path = format!("{FEED_PATH}/{number}/{}", own.unwrap_or(0));
-    match actix_rt::time::timeout(ASK_TIMEOUT, fetch(address, &path)).await {
-        Ok(Ok(bytes)) => match DeltaMessage::decode(bytes) {
-            Ok(message) => {
-                watch::take_delta(gateway, feed, &message.into_delta());
-            }
-            Err(error) => {
-                LogEvent::DigestUnreadable.log(&[("address", &address), ("cause", &error)]);
-            }
-        },
-        Ok(Err(error)) => log::debug!("no copy of {number} from {address}: {error}"),
-        Err(_) => log::debug!("no copy of {number} from {address} in time"),
-    }
-}
-
-/// Answers a VM that asks for a table.
-pub(super) fn answer_feed(gateway: &Gateway, path: &str) -> Option<Bytes> {
-    let (number, since) = path.strip_prefix('/')?.split_once('/')?;
-    let feed = feed_of(number.parse().ok()?)?;
-    let since: u64 = since.parse().ok()?;
-    let base = (since > 0).then_some(since);
-    let delta = gateway.feeds.with(feed, |copy| copy.delta_since(base))?;
-    Some(DeltaMessage::encode_delta(delta).encode_to_vec().into())
-}
-
-async fn fetch(address: SocketAddr, path: &str) -> io::Result<Bytes> {
-    let stream = verbenahinge_http::connect(address, ASK_TIMEOUT).await?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
-        .await
-        .map_err(io::Error::other)?;
-    let driver = actix_rt::spawn(async move {
-        if let Err(error) = connection.await {
-            log::debug!("connection to {address} ended: {error}");
-        }
-    });
-    let request = Request::get(path)
-        .header(hyper::header::HOST, address.to_string())
-        .body(Full::new(Bytes::new()))
-        .map_err(io::Error::other)?;
-    let answer = sender
-        .send_request(request)
-        .await
-        .map_err(io::Error::other)?;
-    let body = Limited::new(answer.into_body(), FEED_LIMIT_BYTES)
-        .collect()
-        .await
-        .map_err(io::Error::other)?;
-    driver.abort();
-    Ok(body.to_bytes())
-}
