refactor(gateway): health, load, demand, digests and final answers in files of their own

Change: what VMs tell each other and what kinds arrive leave state.rs; load types and the ejection of failing servers leave backend.rs (as a type, Health); final answers leave flight.rs; the loop is gone.

--- a/crates/verbenahinge-core/src/gateway/backend.rs
+++ b/crates/verbenahinge-core/src/gateway/backend.rs
@@ -4,9 +4,14 @@
 //! late and the same for every VM, so that it only corrects. `docs/design/platform.md` has the
 //! model of an engine.
 
+mod health;
+mod load;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use self::health::Health;
+pub use self::load::{LoadReport, PeerLoad, Reading};
 use super::number::to_u32;
 use super::{Call, CallId, PartCache, PartId, PartState, Priority};
 use crate::{FailureKind, Timestamp, VmId};
@@ -32,86 +37,6 @@
 /// Time after which gathered load is too old to go by; engines read several prompts in it.
 const TOLD_TTL: Duration = Duration::from_millis(500);
 
-/// First time for which a server that failed gets nothing.
-const EJECT_BASE: Duration = Duration::from_millis(700);
-
-/// Longest time for which a server that failed gets nothing.
-const EJECT_MAX: Duration = Duration::from_secs(4);
-
-/// Failures in a row after which a server gets nothing for a while.
-const EJECT_FAILURES: u32 = 2;
-
-/// Weight of the latest answer in the share of failed answers.
-const ERROR_GAIN: f64 = 0.08;
-
-/// Load of a server as its answers tell it.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct LoadReport {
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-    /// Requests that may run at once.
-    pub slots: u32,
-}
-
-/// Requests of one priority at an engine, and what it has yet to read of their prompts.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Reading {
-    /// Requests in flight.
-    pub running: u32,
-    /// Those among them without a first token.
-    pub prompts: u32,
-    /// Cost of reading them, in tokens.
-    pub tokens: u32,
-}
-
-impl Reading {
-    /// Cost of what is left to be read, in tokens.
-    ///
-    /// Prompts are read one after the other, so that the first one is taken to be half read.
-    fn left(self) -> f64 {
-        if self.prompts == 0 {
-            return 0.0;
-        }
-        f64::from(self.tokens) * (1.0 - 0.5 / f64::from(self.prompts))
-    }
-
-    const fn add(&mut self, other: Self) {
-        self.running += other.running;
-        self.prompts += other.prompts;
-        self.tokens = self.tokens.saturating_add(other.tokens);
-    }
-}
-
-/// Load that another VM puts on a server.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct PeerLoad {
-    /// Requests in flight.
-    pub running: u32,
-    /// Streams in flight that long reads of others would make late.
-    pub interactive: u32,
-    /// Tokens that its requests hold in memory.
-    pub memory_tokens: u32,
-    /// Requests and what is yet to be read of them, by priority.
-    pub reading: BTreeMap<Priority, Reading>,
-    /// Shared parts of prompts that the server has, of those that the teller knows to matter.
-    pub parts: BTreeMap<PartId, PartState>,
-    /// Load that the server told it last, if that was since the digest before.
-    pub report: Option<LoadReport>,
-}
-
-impl PeerLoad {
-    fn add(&mut self, other: &Self) {
-        self.running += other.running;
-        self.interactive += other.interactive;
-        self.memory_tokens = self.memory_tokens.saturating_add(other.memory_tokens);
-        for (&priority, &reading) in &other.reading {
-            self.reading.entry(priority).or_default().add(reading);
-        }
-    }
-}
-
 #[derive(Clone, Debug)]
 struct PeerState {
     load: PeerLoad,
@@ -140,10 +65,7 @@
     cached: PartCache,
     report: Option<(Timestamp, LoadReport)>,
     own_report: Option<LoadReport>,
-    error_share: f64,
-    failures: u32,
-    ejections: u32,
-    ejected_until: Option<Timestamp>,
+    health: Health,
     last_progress: Timestamp,
 }
 
@@ -165,10 +87,7 @@
             cached: PartCache::new(),
             report: None,
             own_report: None,
-            error_share: 0.0,
-            failures: 0,
-            ejections: 0,
-            ejected_until: None,
+            health: Health::new(),
             last_progress: Duration::ZERO,
         }
     }
@@ -177,10 +96,7 @@
     pub fn restart(&mut self) {
         self.cached.clear();
         self.report = None;
-        self.error_share = 0.0;
-        self.failures = 0;
-        self.ejections = 0;
-        self.ejected_until = None;
+        self.health = Health::new();
     }
 
     /// Cost of reading what of a prompt is not cached, in tokens that are read without context.
@@ -261,44 +177,28 @@
     /// Takes note of an answer of the server, good or not.
     pub fn note_answer(&mut self, now: Timestamp, good: bool) {
         self.last_progress = now;
-        let sample = if good { 0.0 } else { 1.0 };
-        self.error_share += ERROR_GAIN * (sample - self.error_share);
-        if good {
-            self.failures = 0;
-            self.ejections = 0;
-            self.ejected_until = None;
-        }
+        self.health.note_answer(good);
     }
 
     /// Takes note of a failure; says whether the server gets nothing from now on.
     pub fn note_failure(&mut self, now: Timestamp, kind: FailureKind) -> bool {
-        self.error_share += ERROR_GAIN * (1.0 - self.error_share);
-        if !kind.blames_server() {
-            return false;
-        }
-        self.failures += 1;
-        let at_once = kind == FailureKind::ConnectFailed;
-        if !at_once && self.failures < EJECT_FAILURES {
-            return false;
+        let is_ejected = self.health.note_failure(now, kind);
+        if is_ejected {
+            self.cached.clear();
         }
-        let factor = 1 << self.ejections.min(4);
-        self.ejections += 1;
-        self.failures = 0;
-        self.ejected_until = Some(now + (EJECT_BASE * factor).min(EJECT_MAX));
-        self.cached.clear();
-        true
+        is_ejected
     }
 
     /// Says whether the server gets nothing for now.
     #[must_use]
     pub fn is_ejected(&self, now: Timestamp) -> bool {
-        self.ejected_until.is_some_and(|until| until > now)
+        self.health.is_ejected(now)
     }
 
     /// Share of the latest answers that failed.
     #[must_use]
     pub const fn error_share(&self) -> f64 {
-        self.error_share
+        self.health.error_share()
     }
 
     /// Takes in the load that the server tells.
--- /dev/null
+++ b/crates/verbenahinge-core/src/gateway/state/demand.rs
@@ -0,0 +1,112 @@
+//! What kinds of requests arrive, and how many engines interactive streams need for it.
+//!
+//! Load pattern: bursts of one kind, several times the usual, that begin and end within seconds.
+
+use std::time::Duration;
+
+use super::GatewayState;
+use crate::Timestamp;
+use crate::gateway::{Call, RetryWindow};
+
+/// Window over which the demand for interactive streams is measured.
+const DEMAND_WINDOW: Duration = Duration::from_secs(2);
+
+/// Part of an engine's reading time that interactive streams may take.
+const INTERACTIVE_READ_PART: f64 = 0.35;
+
+/// Part of an engine's slots that interactive streams may take.
+const INTERACTIVE_SLOT_PART: f64 = 0.5;
+
+/// Part by which demand has to fall below a bound before an engine is given back.
+const GIVE_BACK_PART: f64 = 0.7;
+
+/// Time for which prompts of a priority are expected to go on arriving; a VM of a large fleet gets
+/// about one a second of each kind.
+const URGENT_TTL: Duration = Duration::from_secs(5);
+
+/// Prompts of one priority that arrive and are not interactive.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Urgent {
+    pub(super) seen: Timestamp,
+    pub(super) target: Duration,
+}
+
+impl GatewayState {
+    /// Takes note of a request of a caller.
+    pub fn note_arrival(&mut self, now: Timestamp, call: &Call) {
+        self.retries
+            .entry(call.service.clone())
+            .or_insert_with(|| RetryWindow::new(self.bounds))
+            .note_request(now);
+        let interactive = self.placement(now, call).is_interactive(call);
+        if call.prompt.is_some() && !interactive {
+            let target = call.route.target;
+            let seen = self.urgent.entry(call.service.clone()).or_default();
+            seen.insert(call.priority(), Urgent { seen: now, target });
+        }
+        if let (true, Some(prompt)) = (interactive, &call.prompt) {
+            let decay = decay(now.saturating_sub(self.interactive_at));
+            self.interactive_at = now;
+            let added = f64::from(prompt.prompt_tokens) / DEMAND_WINDOW.as_secs_f64();
+            self.interactive_tokens_s = self.interactive_tokens_s * decay + added;
+        }
+    }
+
+    /// Adapts the number of engines that are kept for interactive streams to the demand.
+    pub(super) fn size_lane(&mut self, now: Timestamp, call: &Call) {
+        let own = self.own_interactive_tokens_s(now);
+        let told: u32 = self
+            .peers
+            .values()
+            .map(|peer| peer.interactive_tokens_s)
+            .sum();
+        let tokens_s = own + f64::from(told);
+        let mut rate = 0.0;
+        let mut streams = 0;
+        let mut slots = 0;
+        let mut engines: u32 = 0;
+        for entry in self.registry.ready(&call.service) {
+            let Some(backend) = self.backends.get(&entry.id) else {
+                continue;
+            };
+            rate += backend.read_rate();
+            streams += backend.interactive();
+            slots += entry.slots;
+            engines += 1;
+        }
+        if engines == 0 {
+            return;
+        }
+        let rate_each = rate * 1000.0 / f64::from(engines);
+        let slots_each = f64::from(slots) / f64::from(engines);
+        let by_reading = tokens_s / (rate_each * INTERACTIVE_READ_PART).max(1.0);
+        let by_slots = f64::from(streams) / (slots_each * INTERACTIVE_SLOT_PART).max(1.0);
+        let wanted = by_reading.max(by_slots);
+        let lane = self.lane.entry(call.service.clone()).or_insert(1);
+        let held = f64::from(u32::try_from(*lane).unwrap_or(u32::MAX));
+        if wanted > held {
+            *lane += 1;
+        } else if *lane > 1 && wanted < (held - 1.0) * GIVE_BACK_PART {
+            *lane -= 1;
+        }
+    }
+
+    /// Shortest target of more urgent prompts that are expected to arrive at the call's service.
+    pub(super) fn urgent_target(&self, now: Timestamp, call: &Call) -> Option<Duration> {
+        let seen = self.urgent.get(&call.service)?;
+        let more_urgent = seen.range(..call.priority());
+        more_urgent
+            .filter(|(_, urgent)| urgent.seen + URGENT_TTL > now)
+            .map(|(_, urgent)| urgent.target)
+            .min()
+    }
+
+    /// Tokens a second that interactive streams of this VM's callers bring.
+    pub(super) fn own_interactive_tokens_s(&self, now: Timestamp) -> f64 {
+        self.interactive_tokens_s * decay(now.saturating_sub(self.interactive_at))
+    }
+}
+
+fn decay(elapsed: Duration) -> f64 {
+    (-elapsed.as_secs_f64() / DEMAND_WINDOW.as_secs_f64()).exp()
+}
--- a/crates/verbenahinge/src/gateway/flight.rs
+++ b/crates/verbenahinge/src/gateway/flight.rs
@@ -1,30 +1,22 @@
 //! The way of one request through the gateway, up to its final answer.
 
-use std::fmt::Display;
+mod ending;
+
 use std::rc::Rc;
 use std::time::Duration;
 
-use http_body_util::Full;
-use hyper::{Response, StatusCode};
-use verbenahinge_core::gateway::{Call, Choice, NoChoice, Prompt, RETRY_AFTER_MIN, retry_after};
+use verbenahinge_core::gateway::{Call, Choice, NoChoice};
 use verbenahinge_core::{FailureKind, ServerName, Timestamp, Verdict};
-use verbenahinge_platform::head;
 
 use super::Gateway;
-use super::answer::{AnswerBody, CallerAnswer, own_answer};
+use super::answer::CallerAnswer;
 use super::attempt::{AttemptError, CallerRequest, InFlight, WholeAnswer, plain_patience};
 use super::{peers, relay};
 use crate::event_log::LogEvent;
 
-/// Time after which a caller is asked to come back when no server can be used.
-const NO_SERVER_PAUSE: Duration = Duration::from_millis(400);
-
-/// Servers whose load is asked for at first; more would each need the shared parts in memory.
+/// Servers whose load is asked for; more would each need the shared parts in memory.
 const ASKED_SERVERS: usize = 2;
 
-/// Times that the load of more servers is asked for.
-const ASK_ROUNDS: usize = 1;
-
 /// Time kept back from the deadline, in which the final answer reaches the caller.
 pub(crate) const ANSWER_MARGIN: Duration = Duration::from_millis(20);
 
@@ -95,8 +87,8 @@
 
     /// Picks a server for the next attempt.
     ///
-    /// Where VMs are too many for each to know the load of all servers, it is asked for, first
-    /// for the few that suit the prompt best, then for a few more.
+    /// Where VMs are too many for each to know the load of all servers, it is asked for, for the
+    /// few that suit the prompt best.
     pub(crate) async fn place(&self) -> Result<Choice, NoChoice> {
         let now = self.gateway.now();
         if self.call.prompt.is_none() || !self.gateway.peers.is_large(now) {
@@ -107,17 +99,10 @@
             let mut state = self.gateway.state.borrow_mut();
             state.rank(now, &self.call, &self.tried)
         };
-        let mut result = Err(NoChoice::NoServer);
-        for round in 1..=ASK_ROUNDS {
-            let asked = &ranked[..ranked.len().min(round * ASKED_SERVERS)];
-            peers::ask_load(&self.gateway, asked, &self.call).await;
-            let state = self.gateway.state.borrow();
-            result = state.place_among(self.gateway.now(), &self.call, asked);
-            if result.is_ok() {
-                break;
-            }
-        }
-        result
+        let asked = &ranked[..ranked.len().min(ASKED_SERVERS)];
+        peers::ask_load(&self.gateway, asked, &self.call).await;
+        let state = self.gateway.state.borrow();
+        state.place_among(self.gateway.now(), &self.call, asked)
     }
 
     /// Takes note that an attempt begins.
@@ -266,71 +251,6 @@
         None
     }
 
-    /// Passes a whole answer on as it came.
-    pub(crate) fn pass_on(mut self, server: &str, answer: WholeAnswer) -> CallerAnswer {
-        let mut response = Response::new(AnswerBody::Whole(Full::new(answer.body)));
-        *response.status_mut() = answer.status;
-        *response.headers_mut() = head::end_to_end(&answer.headers);
-        self.finish("answered", Some(server), Some(answer.status), &"");
-        if answer.status.is_success() {
-            let mut state = self.gateway.state.borrow_mut();
-            state.note_completed(self.call.fingerprint);
-        }
-        response
-    }
-
-    /// Answers a request that no server is chosen for.
-    pub(crate) fn refuse(self, reason: NoChoice) -> CallerAnswer {
-        let excess = match reason {
-            NoChoice::NoServer => NO_SERVER_PAUSE,
-            NoChoice::TooLate(wait) | NoChoice::Yields(wait) => {
-                wait.saturating_sub(self.call.route.target)
-            }
-            NoChoice::Full => RETRY_AFTER_MIN,
-        };
-        if self.verdict == Verdict::MayHaveRun {
-            return self.own(StatusCode::BAD_GATEWAY, None, &format!("{reason:?}"));
-        }
-        let left = self.call.time_left(self.gateway.now());
-        let delay = retry_after(excess, left, self.call.id);
-        self.own(
-            StatusCode::SERVICE_UNAVAILABLE,
-            Some(delay),
-            &format!("{reason:?}"),
-        )
-    }
-
-    /// Answers a request whose attempts failed.
-    pub(crate) fn give_up(self, error: AttemptError) -> CallerAnswer {
-        let cause = match error {
-            AttemptError::Failed(kind) => kind.to_string(),
-            AttemptError::TimeUp => "time_up".to_owned(),
-        };
-        if self.verdict == Verdict::NotRun {
-            let left = self.call.time_left(self.gateway.now());
-            let delay = retry_after(RETRY_AFTER_MIN, left, self.call.id);
-            return self.own(StatusCode::SERVICE_UNAVAILABLE, Some(delay), &cause);
-        }
-        let status = match error {
-            AttemptError::TimeUp => StatusCode::GATEWAY_TIMEOUT,
-            AttemptError::Failed(_) => StatusCode::BAD_GATEWAY,
-        };
-        self.own(status, None, &cause)
-    }
-
-    fn own(mut self, status: StatusCode, delay: Option<Duration>, cause: &str) -> CallerAnswer {
-        let delay_ms = delay.map_or(0, |delay| delay.as_millis());
-        let outcome = if self.verdict == Verdict::NotRun {
-            "refused"
-        } else {
-            "failed"
-        };
-        let detail = format!("{cause} retry_after_ms={delay_ms}");
-        self.finish(outcome, None, Some(status), &detail);
-        let message = format!("request {outcome}: {cause}");
-        own_answer(status, self.request.id.as_deref(), delay, &message)
-    }
-
     /// Serves a request whose answer is a stream of events.
     pub(crate) async fn serve_stream(self) -> CallerAnswer {
         relay::serve(self).await
@@ -344,57 +264,6 @@
         let now = self.gateway.now();
         now.saturating_sub(self.call.arrived).as_millis()
     }
-
-    /// Logs and counts the end of the request.
-    pub(crate) fn finish(
-        &mut self,
-        outcome: &str,
-        server: Option<&str>,
-        status: Option<StatusCode>,
-        detail: &dyn Display,
-    ) {
-        if self.is_finished {
-            return;
-        }
-        self.is_finished = true;
-        let now = self.gateway.now();
-        let total = now.saturating_sub(self.call.arrived);
-        let first = self
-            .first_event_at
-            .map_or(total, |at| at.saturating_sub(self.call.arrived));
-        let choice = self.choice.as_ref();
-        let expected_wait = choice.map_or(Duration::ZERO, |choice| choice.expected_wait);
-        let read_cost = choice.map_or(0.0, |choice| choice.read_cost);
-        let copy_from = choice.and_then(|choice| choice.copy_from.as_deref());
-        let prompt = self.call.prompt.as_ref().map_or(0, Prompt::shared_key);
-        let account = self
-            .call
-            .account
-            .as_ref()
-            .map_or("-", |account| &*account.name);
-        LogEvent::RequestEnded.log(&[
-            ("request_id", &self.id()),
-            ("outcome", &outcome),
-            ("status", &status.map_or(0, |status| status.as_u16())),
-            ("route", &self.call.route.name),
-            ("account", &account),
-            ("server", &server.unwrap_or("-")),
-            ("attempts", &self.sends),
-            ("verdict", &self.verdict),
-            ("first_ms", &first.as_millis()),
-            ("total_ms", &total.as_millis()),
-            ("expected_ms", &expected_wait.as_millis()),
-            ("priority", &self.call.priority()),
-            ("read_tokens", &format!("{read_cost:.0}")),
-            ("copy_from", &copy_from.unwrap_or("-")),
-            ("prompt", &format!("{prompt:x}")),
-            ("config", &self.gateway.state.borrow().config_version()),
-            ("detail", detail),
-        ]);
-        self.gateway
-            .metrics
-            .note_end(&self.call.route.name, account, outcome, first, total);
-    }
 }
 
 impl Drop for Flight {
