refactor(tests): fixtures once, the soak, the fleet and the world of the bench by their jobs

Change: tests/support/engines.rs serves both core tests; the soak has files for dice, callers with their promises, and the fleet with its faults; options and stand-ins leave the gateway fleet, actions leave the world. No check has changed.

--- a/crates/verbenahinge-bench/src/world.rs
+++ b/crates/verbenahinge-bench/src/world.rs
@@ -1,29 +1,25 @@
 //! The event loop of a run.
 
+mod actions;
 mod backends;
 mod faults;
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use verbenahinge_core::digest::Digest;
 use verbenahinge_core::{
-    Action, Attempt, Dispatch, DispatchMode, Event, Refusal, Request, RequestId, ServerName,
-    Timestamp,
+    Attempt, Dispatch, DispatchMode, Event, Request, RequestId, ServerName, Timestamp,
 };
 
 use crate::deployment::{Deployment, ENGINE_POOL};
-use crate::dispatch_record::DispatchRecord;
 use crate::fake_engine::{EngineJob, FakeEngine};
 use crate::fake_service::FakeService;
 use crate::fake_table::FakeTable;
 use crate::outcome::Outcome;
 use crate::policy::Policy;
-use crate::preemption_record::PreemptionRecord;
-use crate::record::{Record, RefusalRecord};
+use crate::record::Record;
 use crate::router::Router;
 use crate::scenario::{Fault, Scenario};
 use crate::summary::Summary;
@@ -38,9 +34,6 @@
 /// Age of a load report when it arrives.
 const REPORT_LAG: Duration = Duration::from_millis(800);
 
-/// Time that the table service takes.
-const TABLE_DELAY: Duration = Duration::from_millis(5);
-
 /// Part of the load reports that is lost.
 const REPORT_LOSS: f64 = 0.1;
 
@@ -50,9 +43,6 @@
 /// Times the first-token target after which a caller gives up.
 const PATIENCE: u32 = 3;
 
-/// Times that a caller comes back after refusals.
-const RETURN_LIMIT: u32 = 3;
-
 /// Factor by which a straggler is slower.
 const STRAGGLER_FACTOR: u32 = 5;
 
@@ -272,128 +262,6 @@
         let vm = record.arrival.vm;
         self.deliver(vm, Event::CallerGone(request_id(index)));
     }
-
-    fn act(&mut self, vm: usize, action: Action, tokens: u32) {
-        let hop = self.deployment.hop;
-        match action {
-            Action::Dispatch(dispatch) => self.dispatch(vm, dispatch),
-            Action::Cancel {
-                request,
-                attempt,
-                server,
-            } => {
-                self.note_preemption(request, &server);
-                let event = WorldEvent::Stop {
-                    server,
-                    request,
-                    attempt,
-                };
-                self.at(self.now + hop, event);
-            }
-            Action::Relay(request) => {
-                let now = self.now;
-                let record = self.record(request);
-                record.delivered += tokens;
-                record.first_token.get_or_insert(now);
-            }
-            Action::Finish(request) => {
-                let now = self.now;
-                let record = self.record(request);
-                record.first_token.get_or_insert(now);
-                record.end = Some(now);
-                record.ends += 1;
-            }
-            Action::Refuse { request, refusal } => self.refused(request, refusal),
-            Action::SendDigest { links, digest } => self.send_digest(&links, &digest),
-            Action::Table { op, operation } => {
-                let reply = self.table.apply(operation);
-                let event = Event::TableReply { op, reply };
-                let due = self.now + TABLE_DELAY;
-                self.at(due, WorldEvent::Deliver { vm, event });
-            }
-            // The rest concerns operators, which a run does not have.
-            _ => {}
-        }
-    }
-
-    /// Notes a stop that neither the caller nor the server is the cause of.
-    fn note_preemption(&mut self, request: RequestId, server: &ServerName) {
-        let down = match &self.backends[server] {
-            Backend::Engine(engine) => engine.down,
-            Backend::Service(service) => service.down,
-        };
-        let record = &self.outcome.records[record_index(request)];
-        if down || record.is_settled() {
-            return;
-        }
-        self.outcome.preemptions.push(PreemptionRecord {
-            at: self.now,
-            pool: record.arrival.pool.clone(),
-            tier: self.deployment.tier(&record.arrival.class),
-        });
-    }
-
-    fn record(&mut self, request: RequestId) -> &mut Record {
-        &mut self.outcome.records[record_index(request)]
-    }
-
-    fn dispatch(&mut self, vm: usize, dispatch: Dispatch) {
-        let now = self.now;
-        let record = self.record(dispatch.request);
-        let (pool, class) = (record.arrival.pool.clone(), record.arrival.class.clone());
-        if !matches!(dispatch.mode, DispatchMode::Resume { .. }) {
-            record.dispatches += 1;
-            let tier = self.deployment.tier(&class);
-            self.outcome.dispatches.push(DispatchRecord {
-                at: now,
-                pool,
-                class,
-                tier,
-                floor: dispatch.floor,
-            });
-        }
-        let due = now + self.deployment.hop;
-        self.at(due, WorldEvent::Submit { vm, dispatch });
-    }
-
-    fn refused(&mut self, request: RequestId, refusal: Refusal) {
-        let now = self.now;
-        let returns = self.scenario.callers_return;
-        let record = self.record(request);
-        record.refusals.push(RefusalRecord {
-            at: now,
-            reason: refusal.reason,
-            verdict: refusal.verdict,
-            retry_after: refusal.retry_after,
-        });
-        let Some(delay) = refusal.retry_after else {
-            return;
-        };
-        if !returns || record.returns >= RETURN_LIMIT {
-            return;
-        }
-        let mut arrival = record.arrival.clone();
-        arrival.at = now + delay;
-        let next = Record::new(arrival, record.returns + 1);
-        if next.arrival.at >= self.scenario.duration() {
-            return;
-        }
-        let index = self.outcome.records.len();
-        self.at(next.arrival.at, WorldEvent::Arrive(index));
-        self.outcome.records.push(next);
-    }
-
-    fn send_digest(&mut self, links: &[SocketAddr], digest: &Digest) {
-        let due = self.now + self.deployment.hop;
-        for address in links {
-            let Some(vm) = self.deployment.vms.iter().position(|vm| vm == address) else {
-                continue;
-            };
-            self.outcome.digests += 1;
-            let event = Event::Digest(digest.clone());
-            self.at(due, WorldEvent::Deliver { vm, event });
-        }
-    }
 }
 
 fn request_id(index: usize) -> RequestId {
--- a/crates/verbenahinge-core/tests/prompt_placement.rs
+++ b/crates/verbenahinge-core/tests/prompt_placement.rs
@@ -1,117 +1,42 @@
 //! Where requests go and when they are turned away, on the load patterns that bind the engines.
 
+#[path = "support/engines.rs"]
+mod engines;
+
 use std::sync::Arc;
 use std::time::Duration;
 
-use verbenahinge_core::gateway::{
-    Bounds, Call, EngineLimits, GatewayState, NoChoice, Prompt, PromptPart, Route, RouteKind,
-    Routing, ServerEntry, ServerState, Service, Share,
-};
+use verbenahinge_core::gateway::{Call, GatewayState, NoChoice, Route, Routing};
 use verbenahinge_core::{FailureKind, Timestamp};
 
+use self::engines::{add_engines, prompt_call, state_with, stream_route};
+
 const ENGINES: usize = 8;
 const SHARED_TOKENS: u32 = 13_000;
 const OWN_TOKENS: u32 = 3_700;
 
-fn bounds() -> Bounds {
-    Bounds {
-        shutdown_grace: Duration::from_secs(8),
-        drain: Duration::from_secs(2),
-        config_apply: Duration::from_secs(2),
-        retry_ratio: 0.2,
-        retry_slack: 60.0,
-        retry_window: Duration::from_secs(10),
-    }
-}
-
-fn route(name: &str, priority: u8, target_ms: u64, gap_ms: u64) -> Arc<Route> {
-    Arc::new(Route {
-        name: name.into(),
-        kind: RouteKind::Stream,
-        timeout: Duration::from_secs(12),
-        target: Duration::from_millis(target_ms),
-        gap_target: Some(Duration::from_millis(gap_ms)),
-        priority,
-        shares: vec![Share {
-            service: "engines".into(),
-            weight: 1,
-        }],
-        max_attempts: 2,
-        public: true,
-        resumable: true,
-    })
-}
-
 fn long_prompt() -> Arc<Route> {
-    route("long", 2, 2000, 600)
+    Arc::new(stream_route("long", 2, 2000, 600))
 }
 
 fn short_stream() -> Arc<Route> {
-    route("short", 0, 400, 150)
-}
-
-fn call(id: u64, route: &Arc<Route>, now: Timestamp, parts: &[(u64, u32)]) -> Call {
-    let parts: Vec<PromptPart> = parts
-        .iter()
-        .map(|&(id, tokens)| PromptPart { id, tokens })
-        .collect();
-    Call {
-        id,
-        route: Arc::clone(route),
-        service: "engines".into(),
-        account: None,
-        prompt: Some(Prompt {
-            prompt_tokens: parts.iter().map(|part| part.tokens).sum(),
-            parts,
-            max_output_tokens: 120,
-        }),
-        fingerprint: id,
-        arrived: now,
-        deadline: now + route.timeout,
-    }
+    Arc::new(stream_route("short", 0, 400, 150))
 }
 
 fn long_call(id: u64, subject: u64, now: Timestamp) -> Call {
     let parts = [(subject, SHARED_TOKENS), (1_000_000 + id, OWN_TOKENS)];
-    call(id, &long_prompt(), now, &parts)
+    prompt_call(id, &long_prompt(), now, &parts)
 }
 
 fn short_call(id: u64, now: Timestamp) -> Call {
     let parts = [(500 + id % 20, 350), (2_000_000 + id, 1_100)];
-    call(id, &short_stream(), now, &parts)
+    prompt_call(id, &short_stream(), now, &parts)
 }
 
 fn state() -> GatewayState {
-    let mut state = GatewayState::new(1, "a".into(), bounds());
     let mut routing = Routing::new(1);
-    routing.services.insert(
-        "engines".into(),
-        Service {
-            max_connections: 370,
-            engine: Some(EngineLimits {
-                slots: 64,
-                memory_tokens: 580_000,
-                token_copy: Some(Duration::from_nanos(4700)),
-                tokens_per_event: 3,
-            }),
-        },
-    );
-    state.adopt_routing(routing);
-    for index in 0..ENGINES {
-        let port = 9000 + u16::try_from(index).expect("few engines");
-        state.upsert_server(ServerEntry {
-            id: format!("engine-{index}").into(),
-            service: "engines".into(),
-            address: ([127, 0, 0, 1], port).into(),
-            availability_zone: "a".into(),
-            slots: 64,
-            state: ServerState::Ready,
-            warm_up: Duration::ZERO,
-            started_unix_ms: None,
-        });
-    }
-    state.complete_registry();
-    state
+    add_engines(&mut routing, 580_000);
+    state_with(routing, ENGINES)
 }
 
 /// Sends a call and returns the engine that it went to.
@@ -257,14 +182,19 @@
     let mut state = state();
     let now = Duration::from_secs(1);
     for id in 0..64 * 8 {
-        let call = call(id, &long_prompt(), now, &[(id, 10)]);
+        let call = prompt_call(id, &long_prompt(), now, &[(id, 10)]);
         if let Ok(choice) = state.place(now, &call, &[]) {
             state.note_sent(now, &call, &choice);
         }
     }
-    let less = call(9000, &long_prompt(), now, &[(9000, 10)]);
+    let less = prompt_call(9000, &long_prompt(), now, &[(9000, 10)]);
     assert!(state.place(now, &less, &[]).is_err());
-    let urgent = call(9001, &route("urgent", 1, 600, 250), now, &[(9001, 10)]);
+    let urgent = prompt_call(
+        9001,
+        &Arc::new(stream_route("urgent", 1, 600, 250)),
+        now,
+        &[(9001, 10)],
+    );
     assert!(state.place(now, &urgent, &[]).is_ok());
 }
 
--- /dev/null
+++ b/crates/verbenahinge-core/tests/support/engines.rs
@@ -0,0 +1,101 @@
+//! A VM that knows some engines, and requests for them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use verbenahinge_core::Timestamp;
+use verbenahinge_core::gateway::{
+    Bounds, Call, EngineLimits, GatewayState, Prompt, PromptPart, Route, RouteKind, Routing,
+    ServerEntry, ServerState, Service, Share,
+};
+
+/// A route of streams that may be resumed.
+pub(crate) fn stream_route(name: &str, priority: u8, target_ms: u64, gap_ms: u64) -> Route {
+    Route {
+        name: name.into(),
+        kind: RouteKind::Stream,
+        timeout: Duration::from_secs(12),
+        target: Duration::from_millis(target_ms),
+        gap_target: Some(Duration::from_millis(gap_ms)),
+        priority,
+        shares: vec![Share {
+            service: "engines".into(),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        public: true,
+        resumable: true,
+    }
+}
+
+/// A request whose prompt has the given parts, by id and tokens.
+pub(crate) fn prompt_call(
+    id: u64,
+    route: &Arc<Route>,
+    now: Timestamp,
+    parts: &[(u64, u32)],
+) -> Call {
+    let parts: Vec<PromptPart> = parts
+        .iter()
+        .map(|&(id, tokens)| PromptPart { id, tokens })
+        .collect();
+    Call {
+        id,
+        route: Arc::clone(route),
+        service: "engines".into(),
+        account: None,
+        prompt: Some(Prompt {
+            prompt_tokens: parts.iter().map(|part| part.tokens).sum(),
+            parts,
+            max_output_tokens: 120,
+        }),
+        fingerprint: id,
+        arrived: now,
+        deadline: now + route.timeout,
+    }
+}
+
+/// Adds the service of the engines to a configuration.
+pub(crate) fn add_engines(routing: &mut Routing, memory_tokens: u64) {
+    routing.services.insert(
+        "engines".into(),
+        Service {
+            max_connections: 370,
+            engine: Some(EngineLimits {
+                slots: 64,
+                memory_tokens,
+                token_copy: Some(Duration::from_nanos(4700)),
+                tokens_per_event: 3,
+            }),
+        },
+    );
+}
+
+/// A VM that has the configuration and knows so many engines.
+pub(crate) fn state_with(routing: Routing, engines: usize) -> GatewayState {
+    let bounds = Bounds {
+        shutdown_grace: Duration::from_secs(8),
+        drain: Duration::from_secs(2),
+        config_apply: Duration::from_secs(2),
+        retry_ratio: 0.2,
+        retry_slack: 60.0,
+        retry_window: Duration::from_secs(10),
+    };
+    let mut state = GatewayState::new(1, "a".into(), bounds);
+    state.adopt_routing(routing);
+    for index in 0..engines {
+        let port = 9000 + u16::try_from(index).expect("few engines");
+        state.upsert_server(ServerEntry {
+            id: format!("engine-{index}").into(),
+            service: "engines".into(),
+            address: ([127, 0, 0, 1], port).into(),
+            availability_zone: "a".into(),
+            slots: 64,
+            state: ServerState::Ready,
+            warm_up: Duration::ZERO,
+            started_unix_ms: None,
+        });
+    }
+    state.complete_registry();
+    state
+}
--- a/crates/verbenahinge-core/tests/tier_order.rs
+++ b/crates/verbenahinge-core/tests/tier_order.rs
@@ -1,32 +1,22 @@
 //! Less urgent requests give way to more urgent ones, by client account first and then by route.
 
+#[path = "support/engines.rs"]
+mod engines;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use verbenahinge_core::Timestamp;
-use verbenahinge_core::gateway::{
-    Account, Bounds, Call, EngineLimits, GatewayState, NoChoice, Prompt, PromptPart, Route,
-    RouteKind, Routing, ServerEntry, ServerState, Service, Share,
-};
-
-const ENGINES: u16 = 6;
-
-fn route(name: &str, priority: u8, target_ms: u64) -> Route {
-    Route {
-        name: name.into(),
-        kind: RouteKind::Stream,
-        timeout: Duration::from_secs(12),
-        target: Duration::from_millis(target_ms),
-        gap_target: Some(Duration::from_millis(600)),
-        priority,
-        shares: vec![Share {
-            service: "engines".into(),
-            weight: 1,
-        }],
-        max_attempts: 2,
-        public: false,
-        resumable: true,
-    }
+use verbenahinge_core::gateway::{Account, Call, GatewayState, NoChoice, Route, Routing};
+
+use self::engines::{add_engines, prompt_call, state_with, stream_route};
+
+const ENGINES: usize = 6;
+
+fn route(name: &str, priority: u8, target_ms: u64) -> Arc<Route> {
+    let mut route = stream_route(name, priority, target_ms, 600);
+    route.public = false;
+    Arc::new(route)
 }
 
 fn account(priority: Option<u8>) -> Arc<Account> {
@@ -36,76 +26,28 @@
     })
 }
 
-fn call(id: u64, route: &Route, rank: Option<u8>, tokens: u32, now: Timestamp) -> Call {
-    Call {
-        id,
-        route: Arc::new(route.clone()),
-        service: "engines".into(),
-        account: Some(account(rank)),
-        prompt: Some(Prompt {
-            parts: vec![PromptPart { id, tokens }],
-            prompt_tokens: tokens,
-            max_output_tokens: 100,
-        }),
-        fingerprint: id,
-        arrived: now,
-        deadline: now + route.timeout,
-    }
+fn call(id: u64, route: &Arc<Route>, rank: Option<u8>, tokens: u32, now: Timestamp) -> Call {
+    let mut call = prompt_call(id, route, now, &[(id, tokens)]);
+    call.account = Some(account(rank));
+    call
 }
 
 fn routing(ranks: &[Option<u8>]) -> Routing {
     let mut routing = Routing::new(1);
     for priority in 0..3 {
         let name = format!("r{priority}");
-        routing.add_route(
-            "a.example",
-            &format!("/{name}/"),
-            route(&name, priority, 600),
-        );
+        let route = Route::clone(&route(&name, priority, 600));
+        routing.add_route("a.example", &format!("/{name}/"), route);
     }
     for (index, rank) in ranks.iter().enumerate() {
         routing.add_key(&format!("key-{index}"), account(*rank));
     }
-    routing.services.insert(
-        "engines".into(),
-        Service {
-            max_connections: 370,
-            engine: Some(EngineLimits {
-                slots: 64,
-                memory_tokens: 2_000_000,
-                token_copy: None,
-                tokens_per_event: 3,
-            }),
-        },
-    );
+    add_engines(&mut routing, 2_000_000);
     routing
 }
 
 fn state() -> GatewayState {
-    let bounds = Bounds {
-        shutdown_grace: Duration::from_secs(8),
-        drain: Duration::from_secs(2),
-        config_apply: Duration::from_secs(2),
-        retry_ratio: 0.2,
-        retry_slack: 60.0,
-        retry_window: Duration::from_secs(10),
-    };
-    let mut state = GatewayState::new(1, "a".into(), bounds);
-    state.adopt_routing(routing(&[Some(1)]));
-    for index in 0..ENGINES {
-        state.upsert_server(ServerEntry {
-            id: format!("engine-{index}").into(),
-            service: "engines".into(),
-            address: ([127, 0, 0, 1], 9000 + index).into(),
-            availability_zone: "a".into(),
-            slots: 64,
-            state: ServerState::Ready,
-            warm_up: Duration::ZERO,
-            started_unix_ms: None,
-        });
-    }
-    state.complete_registry();
-    state
+    state_with(routing(&[Some(1)]), ENGINES)
 }
 
 #[test]
@@ -134,7 +76,7 @@
 }
 
 /// Offers prompts that are twice as many as the engines can read in time.
-fn overload(state: &mut GatewayState, now: Timestamp, less: &Route) -> u32 {
+fn overload(state: &mut GatewayState, now: Timestamp, less: &Arc<Route>) -> u32 {
     let mut yielded = 0;
     for id in 0..120 {
         let call = call(id, less, Some(1), 12_000, now);
@@ -157,7 +99,7 @@
     // One of them was seen, so that more are expected.
     state.note_arrival(now, &call(1000, &urgent, Some(1), 3_000, now));
     assert!(overload(&mut state, now, &less) > 0);
-    for id in 1001..1001 + u64::from(ENGINES) {
+    for id in 1001..1001 + ENGINES as u64 {
         let call = call(id, &urgent, Some(1), 3_000, now);
         let choice = state.place(now, &call, &[]).expect("room");
         assert!(choice.expected_wait < urgent.target, "{choice:?}");
--- /dev/null
+++ b/crates/verbenahinge-testkit/src/gateway_fleet/options.rs
@@ -0,0 +1,45 @@
+//! Size of a fleet.
+
+/// Size of a fleet.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct GatewayOptions {
+    pub(super) vms: u8,
+    pub(super) servers: usize,
+    pub(super) config: String,
+    pub(super) server_args: Vec<String>,
+}
+
+impl GatewayOptions {
+    /// Creates a fleet of one VM and two servers with a configuration in the platform's format.
+    #[must_use]
+    pub fn new(config: impl Into<String>) -> Self {
+        Self {
+            vms: 1,
+            servers: 2,
+            config: config.into(),
+            server_args: Vec::new(),
+        }
+    }
+
+    /// Sets the number of VMs.
+    #[must_use]
+    pub const fn vms(mut self, vms: u8) -> Self {
+        self.vms = vms;
+        self
+    }
+
+    /// Sets the number of servers.
+    #[must_use]
+    pub const fn servers(mut self, servers: usize) -> Self {
+        self.servers = servers;
+        self
+    }
+
+    /// Adds an argument of the servers.
+    #[must_use]
+    pub fn server_arg(mut self, flag: &str, value: &str) -> Self {
+        self.server_args.push(flag.to_owned());
+        self.server_args.push(value.to_owned());
+        self
+    }
+}
