--- a/crates/verbenahinge-core/src/gateway/part_cache.rs
+++ b/crates/verbenahinge-core/src/gateway/part_cache.rs
@@ -1,8 +1,8 @@
 //! Parts of prompts that one engine is believed to have in its memory.
 //!
-//! Load pattern: requests of many callers share the first parts of their prompts. Reading a part
-//! costs an engine a hundred times more than having it, so that every VM has to know where it has
-//! been read, whichever VM sent it there.
+//! Load pattern: requests of many callers share the first parts of their prompts. An engine
+//! that has read a part keeps it, so that every VM has to know where it has been read, whichever VM
+//! sent it there.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/verbenahinge-core/src/gateway/placement/reading.rs
+++ b/crates/verbenahinge-core/src/gateway/placement/reading.rs
@@ -1,7 +1,7 @@
 //! What an engine has to read of a prompt, and what it copies instead.
 //!
 //! Load pattern: more engines than one serve a subject, since one is too busy. The shared parts of
-//! the prompt are read once and copied, which takes a fifth of the time, so that a busy subject
+//! the prompt are read once and copied, which takes a fraction of the time, so that a busy subject
 //! spreads without being read again everywhere.
 
 use super::{Candidate, Placement};
