fix(testkit): a free address is not probed while a process is started

A process that another test of the same program starts in that moment holds a copy of the probe until it has become its own program. The stand-in that was to listen there then ended, the copy accepted the connection that looks whether it listens, and the test counted the stand-in as a server that the request crashed.

Ruled out: ports for outgoing connections (32768 and up there too, as far as the address tells), two steps of one counter (each is given out once), a fault of quarantine (the request itself crashed two servers).

Change: a probe and the start of a process exclude each other; a process that ends before it listens fails the test by its own arguments instead of being counted.

Conclusion: every test that starts processes beside another one could fail so, not this one alone.

--- a/crates/verbenahinge-testkit/src/process.rs
+++ b/crates/verbenahinge-testkit/src/process.rs
@@ -6,6 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use rustix::process::{Pid, Signal, kill_process};
@@ -31,6 +32,10 @@
 
 static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
 
+/// Held while a probe listens and while a process is started: until it has become its own program,
+/// a new process holds a copy of each probe, which keeps the address taken and accepts connections.
+static START: Mutex<()> = Mutex::new(());
+
 /// Returns a loopback address that nothing listens at; each one is returned once.
 ///
 /// # Panics
@@ -45,6 +50,7 @@
         let port = PORTS.start + own.wrapping_add(step) % count;
         let port = u16::try_from(port).expect("the range is of ports");
         let address = SocketAddr::from(([127, 0, 0, 1], port));
+        let _start = START.lock().unwrap_or_else(PoisonError::into_inner);
         if TcpListener::bind(address).is_ok() {
             return address;
         }
@@ -61,7 +67,7 @@
     #[must_use]
     pub fn start(bin: impl AsRef<Path>, args: &[String], address: SocketAddr) -> Self {
         let bin = bin.as_ref().to_string_lossy().into_owned();
-        let process = Self {
+        let mut process = Self {
             child: spawn(&bin, args, None),
             args: args.to_vec(),
             bin,
@@ -85,7 +91,7 @@
         log: &Path,
     ) -> Self {
         let bin = bin.as_ref().to_string_lossy().into_owned();
-        let process = Self {
+        let mut process = Self {
             child: spawn(&bin, args, Some(log)),
             args: args.to_vec(),
             bin,
@@ -96,8 +102,10 @@
         process
     }
 
-    fn wait_listening(&self) {
+    fn wait_listening(&mut self) {
         for _ in 0..START_TRIES {
+            let has_ended = self.has_ended();
+            assert!(!has_ended, "{:?} ended before it listened", self.args);
             if TcpStream::connect(self.address).is_ok() {
                 return;
             }
@@ -179,6 +187,7 @@
         let file = options.create(true).append(true).open(path);
         file.expect("a log file").into()
     });
+    let _start = START.lock().unwrap_or_else(PoisonError::into_inner);
     Command::new(bin)
         .args(args)
         .stdin(Stdio::null())
