fix(gateway): large fleets keep in touch; members, turns and losses in the core

Ruled out: the feed of the store (its messages do not grow with the VMs but for one datagram a change), questions about load (they grow with requests), the store's rate (no VM was turned away with 429 when 100 VMs started at once).

Change: core::gateway::Members decides without I/O. Live VMs, lost ones and those that were never written to have turns of their own; the latter come first. The time after which a VM counts as lost grows with that of a turn. A VM that links is told of all others only if it knows of fewer. The store is asked for other VMs after 0.6 s without a word, before 1.5 s.

Conclusion: VMs of large fleets disagreed about who gathers the load of a server; what they said was lost.

--- a/crates/verbenahinge-core/src/gateway.rs
+++ b/crates/verbenahinge-core/src/gateway.rs
@@ -11,6 +11,7 @@
 mod call;
 mod crash_guard;
 mod feed;
+mod members;
 mod number;
 mod part_cache;
 mod placement;
@@ -28,6 +29,7 @@
 pub use self::feed::{
     Feed, FeedDelta, FeedRow, RowState, StoreRow, TableCopy, watch_wait, watches_store,
 };
+pub use self::members::{DIGEST_INTERVAL, Members, Round, address_number};
 pub use self::part_cache::{PartCache, PartState};
 pub use self::placement::{Choice, NoChoice, Placement};
 pub use self::prompt::{PartId, Prompt, PromptPart};
--- a/crates/verbenahinge/src/gateway/peer_message.rs
+++ b/crates/verbenahinge/src/gateway/peer_message.rs
@@ -7,7 +7,6 @@
     Feed, FeedDelta, FeedRow, LoadReport, PartState, PeerDigest, PeerLoad, Reading, RowState,
     ServerDigest,
 };
-use verbenahinge_core::hash::hash64;
 
 /// One datagram.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -27,6 +26,9 @@
     /// Addresses of some VMs that the sender heard of.
     #[prost(fixed32, repeated, tag = "6")]
     pub(super) members: Vec<u32>,
+    /// Number of VMs that the sender knows of.
+    #[prost(uint32, tag = "13")]
+    pub(super) known: u32,
     /// Servers whose gathered load the sender asks for.
     #[prost(fixed64, repeated, tag = "9")]
     pub(super) asked: Vec<u64>,
@@ -318,14 +320,6 @@
     }
 }
 
-/// Number of an address, by which VMs agree on an order without a word.
-pub(super) fn address_number(ip: IpAddr) -> u64 {
-    match ip {
-        IpAddr::V4(ip) => u64::from(ip.to_bits()),
-        IpAddr::V6(ip) => hash64(&ip.octets()),
-    }
-}
-
 /// Unpacks an address.
 pub(super) fn unpack_ip(bits: u32) -> IpAddr {
     IpAddr::V4(Ipv4Addr::from_bits(bits))
--- a/crates/verbenahinge/src/gateway/peers/load.rs
+++ b/crates/verbenahinge/src/gateway/peers/load.rs
@@ -6,13 +6,13 @@
 use std::time::Duration;
 
 use tokio::sync::oneshot;
-use verbenahinge_core::gateway::{Call, PeerDigest, Prompt, ServerDigest};
+use verbenahinge_core::gateway::{Call, PeerDigest, Prompt, ServerDigest, address_number};
 use verbenahinge_core::hash::{hash64, mix64};
 use verbenahinge_core::{ServerName, Timestamp};
 
 use super::Peers;
 use crate::gateway::Gateway;
-use crate::gateway::peer_message::{PeerMessage, address_number, decode_server, encode_server};
+use crate::gateway::peer_message::{PeerMessage, decode_server, encode_server};
 
 /// Time within which another VM tells gathered load; a few times the way there and back.
 const ANSWER_TIME: Duration = Duration::from_millis(15);
@@ -30,11 +30,12 @@
     /// VM that gathers the load of a server, the same on all VMs; `None` if it is this one.
     fn gatherer(&self, now: Timestamp, server: u64) -> Option<IpAddr> {
         let weight = |ip: IpAddr| mix64(server, address_number(ip));
-        let mut best = (weight(self.own_ip), None);
+        let members = self.members.borrow();
         let slow = self.slow.borrow();
-        for (&ip, member) in self.members.borrow().iter() {
+        let mut best = (weight(members.own()), None);
+        for ip in members.live(now) {
             let is_slow = slow.get(&ip).is_some_and(|until| *until > now);
-            if !is_slow && member.is_live(now) && weight(ip) > best.0 {
+            if !is_slow && weight(ip) > best.0 {
                 best = (weight(ip), Some(ip));
             }
         }
--- a/crates/verbenahinge/src/gateway/watch.rs
+++ b/crates/verbenahinge/src/gateway/watch.rs
@@ -36,8 +36,9 @@
 /// Longest pause after calls that failed; every VM pays for its calls.
 const PAUSE_MAX: Duration = Duration::from_millis(500);
 
-/// Time without a word from another VM after which the store is asked for their addresses.
-const LONELY_AFTER: Duration = Duration::from_millis(1500);
+/// Time without a word from another VM after which the store is asked for their addresses: VMs of
+/// one fleet start within 0.3 s, and the first words between them need a round and the way.
+const LONELY_AFTER: Duration = Duration::from_millis(600);
 
 /// Time between two tries to find other VMs through the store.
 const LONELY_PAUSE: Duration = Duration::from_secs(3);
