feat(cli): explain reads a log from a file or a pipe

Change: LogLine reads a line back, RequestStory gathers the lines of one request, says the cause in a sentence and tells the nearest events about its servers, its configuration, the store and the VMs.

Figures: explain_log, 4 tests, one of them on the log of a gateway that runs.

Conclusion: the lines hold what is needed; "Yields" and its like are told in words.

--- a/crates/verbenahinge/src/cli.rs
+++ b/crates/verbenahinge/src/cli.rs
@@ -10,6 +10,7 @@
 mod declare;
 mod emulate;
 mod error;
+mod explain;
 mod gateway;
 mod inspect;
 mod load;
@@ -55,7 +56,7 @@
     History,
     #[strum(message = "show a VM and its peers")]
     Status,
-    #[strum(message = "show what became of a request")]
+    #[strum(message = "show what became of a request, asking a VM or reading a log")]
     Explain,
     #[strum(message = "shut a VM down gracefully")]
     Drain,
@@ -107,7 +108,7 @@
         Command::Show => inspect::show(rest),
         Command::History => inspect::history(rest),
         Command::Status => inspect::status(rest),
-        Command::Explain => inspect::explain(rest),
+        Command::Explain => explain::explain(rest),
         Command::Drain => inspect::drain(rest),
         Command::HashKey => declare::hash_key(rest),
         Command::Emulate => emulate::run(rest),
--- a/crates/verbenahinge/src/cli/inspect.rs
+++ b/crates/verbenahinge/src/cli/inspect.rs
@@ -5,7 +5,7 @@
 
 use super::error::CliError;
 use super::remote::Remote;
-use super::{EXIT_OK, one_argument, parse};
+use super::{EXIT_OK, parse};
 
 fn matches(args: &[String], brief: &str) -> Result<Option<Matches>, CliError> {
     let mut options = Options::new();
@@ -22,7 +22,7 @@
     }
 }
 
-fn get(matches: &Matches, path: &str) -> Result<u8, CliError> {
+pub(super) fn get(matches: &Matches, path: &str) -> Result<u8, CliError> {
     let remote = Remote::new(matches)?;
     actix_rt::System::new().block_on(async {
         let answer = remote.get(path).await?.success()?;
@@ -55,14 +55,6 @@
     }
 }
 
-pub(super) fn explain(args: &[String]) -> Result<u8, CliError> {
-    let Some(matches) = matches(args, "explain REQUEST_ID [OPTIONS]")? else {
-        return Ok(EXIT_OK);
-    };
-    let request = one_argument(&matches, "request id")?;
-    get(&matches, &format!("/v1/requests/{request}"))
-}
-
 pub(super) fn drain(args: &[String]) -> Result<u8, CliError> {
     let Some(matches) = matches(args, "drain --vm IP:PORT [OPTIONS]")? else {
         return Ok(EXIT_OK);
--- /dev/null
+++ b/crates/verbenahinge/tests/explain_log.rs
@@ -0,0 +1,123 @@
+//! A request's cause is found in the log of the VM that served it.
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+use verbenahinge_emulator::scripted_server::ServerFault;
+use verbenahinge_testkit::{GatewayFleet, GatewayOptions, GatewayRequest};
+
+const BIN: &str = env!("CARGO_BIN_EXE_verbenahinge");
+const CONFIG: &str = include_str!("data/gateway.json");
+
+/// Runs the command on a log that it reads from a pipe.
+fn explain(log: &str, request: &str, more: &[&str]) -> Output {
+    let mut child = Command::new(BIN)
+        .args(["explain", request, "--log", "-"])
+        .args(more)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the binary starts");
+    let mut input = child.stdin.take().expect("a pipe");
+    input.write_all(log.as_bytes()).expect("the log is read");
+    drop(input);
+    child.wait_with_output().expect("the output")
+}
+
+fn text(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+#[actix_rt::test]
+async fn failed_requests_have_causes() {
+    let fleet = GatewayFleet::start(BIN, GatewayOptions::new(CONFIG)).await;
+    for server in 0..2 {
+        fleet.fault(server, ServerFault::LoseAnswer, 0).await;
+    }
+    fleet.call(0, &GatewayRequest::new("lost", "/once/x")).await;
+    for server in 0..2 {
+        fleet.fault(server, ServerFault::BreakOff, 0).await;
+    }
+    let stream = GatewayRequest::new("cut", "/single/x").prompt(1, 2);
+    fleet.call(0, &stream.deadline_ms(8000)).await;
+    let odd = GatewayRequest::new("odd", "/nowhere/x");
+    fleet.call(0, &odd).await;
+    fleet.wait_logged(0, "request_id=odd status=404").await;
+    let log = fleet.log_of(0);
+    for (request, expected) in [
+        ("lost", "Cause: its last attempt failed: "),
+        ("lost", "it may have run, status 502"),
+        ("lost", "attempt_failed server=server-"),
+        ("lost", "started vm="),
+        ("cut", "Cause: the answer of server server-"),
+        ("cut", "ended early"),
+        ("odd", "Cause: it was not taken in: no route"),
+    ] {
+        let story = text(&explain(&log, request, &[]));
+        assert!(story.contains(expected), "{expected} not in {story}");
+    }
+    let json = text(&explain(&log, "odd", &["--json"]));
+    let value: serde_json::Value = serde_json::from_str(&json).expect("JSON");
+    assert_eq!(value["request_id"], "odd");
+}
+
+#[test]
+fn causes_of_refusals() {
+    let line = |detail: &str, more: &str| {
+        format!(
+            "2026-12-04T00:00:00Z [INFO] event=510 name=request_ended request_id=r1 {more} \
+             priority=12 detail=\"{detail} retry_after_ms=0\"\n"
+        )
+    };
+    let refused = "outcome=refused status=503 verdict=not_run total_ms=4";
+    for (log, expected) in [
+        (
+            line("Yields(534ms)", refused),
+            "534ms of reading, leave room only for more urgent",
+        ),
+        (
+            line("TooLate(1.2s)", refused),
+            "1.2s, was too long for it; it has not run, status 503",
+        ),
+        (
+            line("NoServer", refused),
+            "no server of its service could be used",
+        ),
+        (line("Full", refused), "no server had a free slot"),
+    ] {
+        let story = text(&explain(&log, "r1", &[]));
+        assert!(story.contains(expected), "{expected} not in {story}");
+    }
+}
+
+#[test]
+fn servers_are_told_beside() {
+    let log = "a event=400 name=server_ejected server=s1 failure=silent\n\
+               a event=400 name=server_ejected server=s2 failure=silent\n\
+               no event\n\
+               b event=511 name=attempt_failed request_id=r1 server=s1 failure=silent attempt=1\n\
+               b event=510 name=request_ended request_id=r1 outcome=failed status=502 server=- \
+               verdict=may_have_run detail=\"silent \\\"x\\\" retry_after_ms=0\"\n\
+               c event=401 name=server_readmitted server=s1\n";
+    let story = text(&explain(log, "r1", &[]));
+    assert!(
+        story.contains("a server_ejected server=s1 failure=silent"),
+        "{story}"
+    );
+    assert!(story.contains("c server_readmitted server=s1"), "{story}");
+    assert!(!story.contains("s2"), "{story}");
+}
+
+#[test]
+fn unknown_requests_fail() {
+    let log = "a event=106 name=log_lines_dropped lines=7\n";
+    let output = explain(log, "r1", &[]);
+    let error = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(1));
+    assert!(
+        error.contains("request \"r1\" is not in log \"-\" of 1 lines"),
+        "{error}"
+    );
+    assert!(error.contains("7 lines were dropped"), "{error}");
+}
