fix(gateway): the engines for short streams follow demand in fleets where each VM sees little of it

Each request of a VM changed its number of engines for short streams by one: a VM of this fleet gets 1.4 requests a second, so that it would have needed over a minute. And demand that other VMs told was up to six seconds old; after five it was dropped, although a turn takes 5.7 s there.

Ruled out: too few engines asked (the two that were asked were the right ones of a lane of five), the room for urgent prompts (38 of about 300 refusals seen said Yields, all of another kind).

Change: each request closes half of the gap. Where more than 16 VMs told their demand within a second, they stand for those that did not. A VM's demand is kept until the VM counts as lost.

Conclusion: what adapts by one a request adapts by the size of the fleet.

--- a/crates/verbenahinge-core/src/gateway/state.rs
+++ b/crates/verbenahinge-core/src/gateway/state.rs
@@ -17,9 +17,6 @@
 use crate::hash::hash64;
 use crate::{ConfigVersion, FailureKind, Fingerprint, ServerName, Timestamp, VmId, ZoneName};
 
-/// Time after which a VM that sent no digest does not count any more.
-const VM_TTL: Duration = Duration::from_secs(5);
-
 #[derive(Clone, Copy, Debug)]
 struct Peer {
     seen: Timestamp,
@@ -149,12 +146,14 @@
     }
 
     /// Lets time pass; returns the backend servers that are taken to be gone.
-    pub fn tick(&mut self, now: Timestamp) -> Vec<ServerName> {
+    ///
+    /// A VM that sent no digest for `vm_lost_after` does not count any more.
+    pub fn tick(&mut self, now: Timestamp, vm_lost_after: Duration) -> Vec<ServerName> {
         let gone = self.registry.expire(now);
         for id in &gone {
             self.forget(id);
         }
-        self.peers.retain(|_, peer| peer.seen + VM_TTL > now);
+        self.peers.retain(|_, peer| peer.seen + vm_lost_after > now);
         for backend in self.backends.values_mut() {
             backend.expire_peers(now);
         }
--- a/crates/verbenahinge-core/src/gateway/state/demand.rs
+++ b/crates/verbenahinge-core/src/gateway/state/demand.rs
@@ -6,6 +6,7 @@
 
 use super::GatewayState;
 use crate::Timestamp;
+use crate::gateway::number::to_u32;
 use crate::gateway::{Call, RetryWindow};
 
 /// Window over which the demand for interactive streams is measured.
@@ -20,6 +21,13 @@
 /// Part by which demand has to fall below a bound before an engine is given back.
 const GIVE_BACK_PART: f64 = 0.7;
 
+/// Age up to which what VMs told stands for the others.
+const SAMPLE_AGE: Duration = Duration::from_secs(1);
+
+/// VMs that are enough to stand for the others: those that a VM hears of in a third of a second
+/// where it does not hear of all.
+const SAMPLE_VMS: u32 = 16;
+
 /// Time for which prompts of a priority are expected to go on arriving; a VM of a large fleet gets
 /// about one a second of each kind.
 const URGENT_TTL: Duration = Duration::from_secs(5);
@@ -55,12 +63,7 @@
     /// Adapts the number of engines that are kept for interactive streams to the demand.
     pub(super) fn size_lane(&mut self, now: Timestamp, call: &Call) {
         let own = self.own_interactive_tokens_s(now);
-        let told: u32 = self
-            .peers
-            .values()
-            .map(|peer| peer.interactive_tokens_s)
-            .sum();
-        let tokens_s = own + f64::from(told);
+        let tokens_s = own + self.told_tokens_s(now);
         let mut rate = 0.0;
         let mut streams = 0;
         let mut slots = 0;
@@ -84,11 +87,35 @@
         let wanted = by_reading.max(by_slots);
         let lane = self.lane.entry(call.service.clone()).or_insert(1);
         let held = f64::from(u32::try_from(*lane).unwrap_or(u32::MAX));
+        let given_back = held - 1.0 - wanted / GIVE_BACK_PART;
         if wanted > held {
-            *lane += 1;
-        } else if *lane > 1 && wanted < (held - 1.0) * GIVE_BACK_PART {
-            *lane -= 1;
+            *lane += half_of(wanted - held);
+        } else if *lane > 1 && given_back > 0.0 {
+            *lane -= half_of(given_back).min(*lane - 1);
+        }
+    }
+
+    /// Tokens a second that interactive streams of other VMs' callers bring.
+    ///
+    /// Where VMs are many, most of what they told is some seconds old; those that told it just now
+    /// stand for the others.
+    fn told_tokens_s(&self, now: Timestamp) -> f64 {
+        let mut told = 0.0;
+        let mut recent = 0.0;
+        let mut recent_vms: u32 = 0;
+        for peer in self.peers.values() {
+            let tokens_s = f64::from(peer.interactive_tokens_s);
+            told += tokens_s;
+            if peer.seen + SAMPLE_AGE > now {
+                recent += tokens_s;
+                recent_vms += 1;
+            }
+        }
+        if recent_vms < SAMPLE_VMS {
+            return told;
         }
+        let vms = f64::from(u32::try_from(self.peers.len()).unwrap_or(u32::MAX));
+        recent / f64::from(recent_vms) * vms
     }
 
     /// Shortest target of more urgent prompts that are expected to arrive at the call's service.
@@ -107,6 +134,13 @@
     }
 }
 
+/// Half of a difference in engines, at least one: few requests reach a VM of a large fleet, and each
+/// of them closes half of the gap.
+fn half_of(engines: f64) -> usize {
+    let half = (engines / 2.0).ceil().clamp(1.0, f64::from(u32::MAX));
+    usize::try_from(to_u32(half)).unwrap_or(usize::MAX)
+}
+
 fn decay(elapsed: Duration) -> f64 {
     (-elapsed.as_secs_f64() / DEMAND_WINDOW.as_secs_f64()).exp()
 }
--- a/crates/verbenahinge/src/gateway.rs
+++ b/crates/verbenahinge/src/gateway.rs
@@ -215,7 +215,8 @@
     loop {
         actix_rt::time::sleep(TICK).await;
         let now = gateway.now();
-        let gone = gateway.state.borrow_mut().tick(now);
+        let lost_after = gateway.peers.lost_after();
+        let gone = gateway.state.borrow_mut().tick(now, lost_after);
         for server in gone {
             LogEvent::ServerListed.log(&[("server", &server), ("change", &"lapsed")]);
         }
--- a/crates/verbenahinge/src/gateway/peers.rs
+++ b/crates/verbenahinge/src/gateway/peers.rs
@@ -85,6 +85,11 @@
         self.members.borrow().live(now).count()
     }
 
+    /// Time after which a VM that was not heard of counts as lost.
+    pub(crate) fn lost_after(&self) -> Duration {
+        self.members.borrow().lost_after()
+    }
+
     fn all(&self) -> Vec<IpAddr> {
         self.members.borrow().all().collect()
     }
