--- a/crates/verbenahinge-core/src/gateway/members.rs
+++ b/crates/verbenahinge-core/src/gateway/members.rs
@@ -4,7 +4,7 @@
 //! Where VMs are few, each writes to all; where they are many, each writes to a few in turn, and
 //! the time after which a silent VM counts as lost grows with the time that a turn takes. A VM
 //! that was never written to comes first, so that a fleet that starts finds itself within
-//! seconds.
+//! seconds. See `docs/design/members.md`.
 
 use std::collections::BTreeMap;
 use std::net::IpAddr;
