fix(core): engines that were asked for their load are told apart by the lane of all engines

Cause: where a VM asks two engines for their load, the choice among the two made up a lane for short streams out of them: one of the two counted as kept for short streams, whichever came first by hash, and the other cost half a request more (for long prompts the other way round), although both were found in the same lane of all engines. The less loaded one lost.

Change: the lane of the asked engines is looked up in the order of all engines of the service. The number that orders the lane stands in one place.

Small fleets do not ask and are not touched.

Conclusion: a choice among a few has to know what all are.

--- a/crates/verbenahinge-core/src/gateway/members.rs
+++ b/crates/verbenahinge-core/src/gateway/members.rs
@@ -25,7 +25,7 @@
 /// VMs that a VM sends its digests to at most.
 const FANOUT: usize = 16;
 
-/// VMs that count as lost and are tried in one round, where VMs are many: a quarter of the others.
+/// VMs that count as lost and are tried in one round: a quarter of the others.
 const LOST_FANOUT: usize = 4;
 
 /// VMs that are written to for the first time in one round: five hundred in two seconds.
@@ -200,8 +200,7 @@
             .collect()
     }
 
-    /// Addresses that a VM is told which did not count as live: all of them if it knows of so many
-    /// fewer that digests would not name them soon.
+    /// Addresses that a VM is told which did not count as live: all of them if it knows of fewer.
     #[must_use]
     pub fn told_to_new(&self, known: usize) -> Vec<IpAddr> {
         if known < self.by_address.len() {
--- a/crates/verbenahinge-core/src/gateway/placement.rs
+++ b/crates/verbenahinge-core/src/gateway/placement.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use self::reading::PlannedRead;
+use super::server_order::lane_hash;
 use super::{Backend, Call, EngineLimits, ServerEntry};
 use crate::hash::{hash64, mix64};
 use crate::{ServerName, Timestamp};
@@ -114,6 +115,9 @@
     pub engine: Option<EngineLimits>,
     /// Engines that are kept for interactive streams.
     pub interactive_engines: usize,
+    /// Those of the candidates that are kept for interactive streams, if they are only a few of
+    /// all engines; else the lane is made up of the candidates.
+    pub lane: Option<&'a BTreeSet<ServerName>>,
     /// Shortest target of more urgent prompts that arrive at the service and wait for reads.
     pub urgent_target: Option<Duration>,
 }
@@ -205,7 +209,10 @@
         engine: EngineLimits,
     ) -> Result<Choice, NoChoice> {
         let interactive = self.is_interactive(call);
-        let lane = self.interactive_lane(candidates);
+        let lane = match self.lane {
+            Some(lane) => lane.clone(),
+            None => self.interactive_lane(candidates),
+        };
         // Where nobody is known to have the shared parts, all VMs agree on who gets them.
         let home = if self.is_known(call, candidates) {
             None
@@ -280,7 +287,7 @@
         let mut order: Vec<(u64, &ServerName)> = Vec::new();
         for candidate in candidates {
             let id = &candidate.entry.id;
-            order.push((mix64(hash64(id.as_bytes()), 0x6c61_6e65), id));
+            order.push((lane_hash(id), id));
         }
         order.sort_unstable();
         let most = candidates.len() / 2;
--- a/crates/verbenahinge-core/src/gateway/server_order.rs
+++ b/crates/verbenahinge-core/src/gateway/server_order.rs
@@ -3,7 +3,7 @@
 //! Load pattern: seven hundred engines of one model, and a request that has to find the few that
 //! suit its prompt without a look at what is believed about each of them.
 
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 use crate::ServerName;
 use crate::hash::{hash64, mix64};
@@ -71,6 +71,21 @@
         self.slots
     }
 
+    /// Those of some servers that are in the lane of interactive streams, which is the first `lane`
+    /// servers, up to half of all.
+    #[must_use]
+    pub fn in_lane(&self, servers: &[ServerName], lane: usize) -> BTreeSet<ServerName> {
+        let in_lane = &self.by_lane[..self.lane_len(lane)];
+        let found = servers
+            .iter()
+            .filter(|id| in_lane.binary_search(&ordered(id)).is_ok());
+        found.cloned().collect()
+    }
+
+    fn lane_len(&self, lane: usize) -> usize {
+        lane.min(self.by_lane.len() / 2)
+    }
+
     /// The servers that suit a key best, of those that are usable: first those of the lane that
     /// is meant for the request, which is the first `lane` servers for interactive streams.
     pub fn best(
@@ -81,7 +96,7 @@
         count: usize,
         mut usable: impl FnMut(&ServerName) -> bool,
     ) -> Vec<ServerName> {
-        let (in_lane, others) = self.by_lane.split_at(lane.min(self.by_lane.len() / 2));
+        let (in_lane, others) = self.by_lane.split_at(self.lane_len(lane));
         let sides = if interactive {
             [in_lane, others]
         } else {
@@ -105,11 +120,15 @@
     }
 }
 
+/// Number by which engines are put into the order of the lane, the same on all VMs.
+pub(super) fn lane_hash(id: &str) -> u64 {
+    mix64(hash64(id.as_bytes()), LANE_ORDER)
+}
+
 fn ordered(id: &ServerName) -> Ordered {
-    let id_hash = hash64(id.as_bytes());
     Ordered {
-        lane_hash: mix64(id_hash, LANE_ORDER),
+        lane_hash: lane_hash(id),
         id: id.clone(),
-        id_hash,
+        id_hash: hash64(id.as_bytes()),
     }
 }
--- a/crates/verbenahinge-core/src/gateway/state.rs
+++ b/crates/verbenahinge-core/src/gateway/state.rs
@@ -179,6 +179,7 @@
             now,
             availability_zone: &self.availability_zone,
             engine: declared.and_then(|service| service.engine),
+            lane: None,
             urgent_target: self.urgent_target(now, call),
             interactive_engines: self.lane.get(service).copied().unwrap_or(1),
         }
@@ -211,6 +212,13 @@
         call: &Call,
         asked: &[ServerName],
     ) -> Result<Choice, NoChoice> {
+        let placement = self.placement(now, call);
+        let order = self.registry.order(&call.service);
+        let lane = order.map(|order| order.in_lane(asked, placement.interactive_engines));
+        let placement = Placement {
+            lane: lane.as_ref(),
+            ..placement
+        };
         let mut asked: Vec<&ServerName> = asked.iter().collect();
         asked.sort_unstable();
         let mut candidates = Vec::new();
@@ -221,7 +229,7 @@
                 candidates.push(Candidate { entry, backend });
             }
         }
-        self.placement(now, call).choose(call, &candidates)
+        placement.choose(call, &candidates)
     }
 
     /// The engines that a call should be placed on by its prompt alone, the best first.
