test(core): orders of servers, and the less loaded one of two

Ruled out: a test of processes; both are decisions of the core. Change: server_order: best servers against a full sort, the lane, the registry's upkeep of orders, and that the less loaded one of two asked engines is chosen.

--- /dev/null
+++ b/crates/verbenahinge-core/tests/server_order.rs
@@ -0,0 +1,134 @@
+//! Servers of a service in the orders that all VMs agree on.
+
+#[path = "support/engines.rs"]
+mod engines;
+
+use std::cmp::Reverse;
+use std::sync::Arc;
+use std::time::Duration;
+
+use verbenahinge_core::ServerName;
+use verbenahinge_core::gateway::{
+    Call, GatewayState, PeerDigest, Registry, Route, Routing, ServerEntry, ServerOrder, ServerState,
+};
+use verbenahinge_core::hash::{hash64, mix64};
+
+use self::engines::{add_engines, prompt_call, state_with, stream_route};
+
+const SERVERS: usize = 60;
+
+fn names() -> Vec<ServerName> {
+    let names = (0..SERVERS).map(|index| format!("server-{index}"));
+    names.map(|name| name.as_str().into()).collect()
+}
+
+fn order() -> ServerOrder {
+    let mut order = ServerOrder::default();
+    for name in names() {
+        order.insert(&name, 8);
+    }
+    order
+}
+
+fn entry(id: &str, service: &str, state: ServerState) -> ServerEntry {
+    ServerEntry {
+        id: id.into(),
+        service: service.into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        availability_zone: "a".into(),
+        slots: 8,
+        state,
+        warm_up: Duration::ZERO,
+        started_unix_ms: None,
+    }
+}
+
+#[test]
+fn best_come_by_weight() {
+    let order = order();
+    for key in 0..40 {
+        let in_lane = order.in_lane(&names(), 20);
+        assert_eq!(in_lane.len(), 20);
+        for interactive in [true, false] {
+            let mut expected = names();
+            expected.sort_by_key(|id| {
+                let is_outside = in_lane.contains(id) != interactive;
+                (is_outside, Reverse(mix64(key, hash64(id.as_bytes()))))
+            });
+            let best = order.best(key, 20, interactive, SERVERS, |_| true);
+            assert_eq!(best, expected);
+            let refused = expected[0].clone();
+            let best = order.best(key, 20, interactive, 2, |id| *id != refused);
+            assert_eq!(best, expected[1..3]);
+        }
+    }
+}
+
+#[test]
+fn lane_is_half_at_most() {
+    let mut order = order();
+    assert_eq!(order.in_lane(&names(), SERVERS).len(), SERVERS / 2);
+    for name in &names()[1..] {
+        order.remove(name);
+    }
+    assert!(order.in_lane(&names(), 1).is_empty());
+    assert_eq!((order.len(), order.slots()), (1, 8));
+}
+
+#[test]
+fn registry_keeps_orders() {
+    let mut registry = Registry::default();
+    let ready = |registry: &Registry, service: &str| registry.ready(service).count();
+    registry.upsert(entry("s1", "a", ServerState::Ready));
+    registry.upsert(entry("s2", "a", ServerState::Ready));
+    assert_eq!(ready(&registry, "a"), 2);
+    registry.upsert(entry("s1", "b", ServerState::Ready));
+    assert_eq!((ready(&registry, "a"), ready(&registry, "b")), (1, 1));
+    registry.upsert(entry("s1", "b", ServerState::Draining));
+    assert_eq!(ready(&registry, "b"), 0);
+    registry.lapse(Duration::ZERO, "s2");
+    assert_eq!(ready(&registry, "a"), 1);
+    registry.expire(Duration::from_secs(10));
+    assert_eq!(ready(&registry, "a"), 0);
+    registry.remove("s1");
+    assert!(registry.is_empty());
+}
+
+fn short_stream() -> Arc<Route> {
+    Arc::new(stream_route("short", 0, 400, 150))
+}
+
+/// Sends short streams to an engine that it has yet to read.
+fn load(state: &mut GatewayState, call: &Call, server: &ServerName, prompts: u64) {
+    for id in 0..prompts {
+        let now = call.arrived;
+        let other = prompt_call(90_000 + id, &call.route, now, &[(90_000 + id, 300)]);
+        let alone = std::slice::from_ref(server);
+        let choice = state.place_among(now, &other, alone).expect("a place");
+        state.note_sent(now, &other, &choice);
+    }
+}
+
+#[test]
+fn less_loaded_of_two_is_chosen() {
+    let mut routing = Routing::new(1);
+    add_engines(&mut routing, 600_000);
+    let mut fresh = state_with(routing, SERVERS);
+    let now = Duration::from_secs(1);
+    let demand = PeerDigest {
+        vm: 7,
+        interactive_tokens_s: 20 * 45_000 * 35 / 100,
+        ..PeerDigest::default()
+    };
+    fresh.note_digest(now, &demand);
+    let route = short_stream();
+    for id in 0..40 {
+        let mut state = fresh.clone();
+        let later = now + Duration::from_secs(1 + id);
+        let call = prompt_call(id, &route, later, &[(id, 300)]);
+        let asked = state.rank(later, &call, &[], 2);
+        load(&mut state, &call, &asked[0], 6);
+        let choice = state.place_among(later, &call, &asked).expect("a place");
+        assert_eq!(choice.server, asked[1], "prompt {id}");
+    }
+}
