fix(front): an answer that cannot be read is no whole answer

Cause: found by looking at places that may turn an error into nothing. A completion that is gathered into one answer skipped frames that are no JSON, and took the end of its channel for the end of the answer: a caller got 200 with text missing, or with none. A kept outcome that cannot be read was replayed as an empty 200.

Ruled out: outcomes that are not kept for their size; their duplicates are told 409 already, which a new test holds (it passed before the change). Streams pass frames on as they come.

Change: such answers end as 502 server_failed, may_have_run, such replays as 409 duplicate, may_have_run; both are logged. The stand-in engine cuts frames when asked to. Other places that drop an error say why: missing keys and models count as the empty one, an outcome that is no text is not kept, a declaration always has a JSON form.

Conclusion: a default is no answer.

--- a/crates/verbenahinge-core/src/declaration.rs
+++ b/crates/verbenahinge-core/src/declaration.rs
@@ -106,6 +106,7 @@
     /// Returns the JSON form that the table service keeps.
     #[must_use]
     pub fn to_json(&self) -> serde_json::Value {
+        // Maps with text keys always have a JSON form; null would be read as no declaration at all.
         serde_json::to_value(self).unwrap_or_default()
     }
 }
--- a/crates/verbenahinge-emulator/src/engine/faults.rs
+++ b/crates/verbenahinge-emulator/src/engine/faults.rs
@@ -16,6 +16,8 @@
     pub double_frames: bool,
     /// A frame of another request is put before each frame.
     pub foreign_frames: bool,
+    /// The data of each frame is cut short, so that it is no JSON.
+    pub cut_frames: bool,
     /// Factor on the time between tokens; 0 counts as 1.
     pub slow_factor: u64,
     /// Load reports keep the values that they have now.
--- a/crates/verbenahinge-emulator/src/engine/handlers.rs
+++ b/crates/verbenahinge-emulator/src/engine/handlers.rs
@@ -194,6 +194,10 @@
         if faults.double_frames {
             return Bytes::from(frame.repeat(2));
         }
+        if faults.cut_frames {
+            let end = frame.trim_end().len() - 1;
+            return Bytes::from(format!("{}\n\n", &frame[..end]));
+        }
         if faults.foreign_frames {
             let foreign = "id: ffffffffffffffffffffffffffffffff:0\ndata: {\"foreign\":true}\n\n";
             return Bytes::from(format!("{foreign}{frame}"));
--- a/crates/verbenahinge-testkit/src/client.rs
+++ b/crates/verbenahinge-testkit/src/client.rs
@@ -33,7 +33,7 @@
         serde_json::from_str(&self.body).unwrap_or_default()
     }
 
-    /// Text of a completion, streamed or not.
+    /// Text of a completion, streamed or not; empty where there is none, which no test expects.
     #[must_use]
     pub fn text(&self) -> String {
         if !self.body.starts_with("data:") {
--- a/crates/verbenahinge/src/api_error.rs
+++ b/crates/verbenahinge/src/api_error.rs
@@ -84,6 +84,17 @@
     finish(json(status, &body), request, refusal.retry_after)
 }
 
+/// Creates the answer to a duplicate whose kept outcome cannot be read: the first request was
+/// accepted, and nothing more is known.
+pub(crate) fn unreadable_replay(request: RequestId) -> HttpResponse {
+    log::warn!(
+        "request {}: kept outcome cannot be read",
+        format_id(request)
+    );
+    let refusal = Refusal::new(RefusalReason::Duplicate).verdict(Verdict::MayHaveRun);
+    refused(request, &refusal)
+}
+
 /// Creates the error object of a refusal.
 pub(crate) fn refusal_body(request: RequestId, refusal: &Refusal) -> ErrorBody {
     ErrorBody {
--- a/crates/verbenahinge/src/backend/outcome.rs
+++ b/crates/verbenahinge/src/backend/outcome.rs
@@ -31,6 +31,7 @@
 
 /// Encodes an outcome, if it is text of a bounded size.
 pub(crate) fn encode_outcome(answer: Option<&ServiceAnswer>, frames: &[Bytes]) -> Option<Arc<str>> {
+    // What is no text is not kept, which a duplicate is told as such.
     let text = |bytes: &Bytes| String::from_utf8(bytes.to_vec()).ok();
     let outcome = match answer {
         Some(answer) => Outcome::Service {
--- a/crates/verbenahinge/src/front/completion.rs
+++ b/crates/verbenahinge/src/front/completion.rs
@@ -1,18 +1,19 @@
 //! Chat and text completions.
 
+use std::fmt::Display;
 use std::rc::Rc;
 
 use actix_http::header::{HeaderName, HeaderValue};
 use bytes::Bytes;
 use serde_json::{Map, Value, json as object};
 use verbenahinge_core::hash::{hash64, mix64};
-use verbenahinge_core::{Request, RequestId};
+use verbenahinge_core::{Refusal, RefusalReason, Request, RequestId, Verdict};
 use verbenahinge_http::{HttpRequest, HttpResponse, json, read_json};
 
 use super::admit::{self, Caller};
 use super::answer::{CallerGuard, Parts, stream};
 use super::{ErrorCode, Rejection};
-use crate::api_error::{REQUEST_ID_HEADER, format_id, refused};
+use crate::api_error::{REQUEST_ID_HEADER, format_id, refused, unreadable_replay};
 use crate::backend::{Replay, decode_outcome};
 use crate::shell::{Call, EngineCall, Part, Shell};
 
@@ -58,6 +59,7 @@
     let once = admit::asks_once(&request) || key.is_some();
     let limit = shell.settings.max_body_bytes;
     let body: Map<String, Value> = read_json(&mut request, limit).await?;
+    // A model that is missing is as unknown as the empty one.
     let model = body
         .get("model")
         .and_then(Value::as_str)
@@ -92,12 +94,11 @@
         return Ok(response);
     }
     if let Some(Part::Replayed(outcome)) = &first {
-        let frames = match decode_outcome(outcome) {
-            Some(Replay::Frames(frames)) => frames,
-            _ => Vec::new(),
-        };
         let mut guard = guard;
         guard.ended();
+        let Some(Replay::Frames(frames)) = decode_outcome(outcome) else {
+            return Ok(unreadable_replay(id));
+        };
         return Ok(whole_answer(id, &model, shape, &frames));
     }
     let parts = Parts::new(receiver, guard, first);
@@ -177,28 +178,39 @@
 /// Collects the frames of an answer into one.
 async fn gather(id: RequestId, model: &str, shape: Shape, mut parts: Parts) -> HttpResponse {
     let mut frames = Vec::new();
-    while let Some(part) = parts.next().await {
-        match part {
-            Part::Frame(data) => frames.push(data),
-            Part::Refused(refusal) => return refused(id, &refusal),
-            Part::End | Part::Whole(_) | Part::Replayed(_) => break,
+    loop {
+        match parts.next().await {
+            Some(Part::Frame(data)) => frames.push(data),
+            Some(Part::Refused(refusal)) => return refused(id, &refusal),
+            Some(Part::End) => return whole_answer(id, model, shape, &frames),
+            Some(Part::Whole(_) | Part::Replayed(_)) | None => {
+                return failed(id, &"the answer has no end");
+            }
         }
     }
-    whole_answer(id, model, shape, &frames)
+}
+
+/// Answers a request whose answer cannot be shown to be whole.
+fn failed(id: RequestId, cause: &dyn Display) -> HttpResponse {
+    log::warn!("request {}: no whole answer: {cause}", format_id(id));
+    let refusal = Refusal::new(RefusalReason::ServerFailed).verdict(Verdict::MayHaveRun);
+    refused(id, &refusal)
 }
 
 fn whole_answer(id: RequestId, model: &str, shape: Shape, frames: &[Bytes]) -> HttpResponse {
     let mut text = String::new();
     let mut reason = Value::Null;
     for frame in frames {
-        let Ok(chunk) = serde_json::from_slice::<Value>(frame) else {
-            continue;
+        let chunk: Value = match serde_json::from_slice(frame) {
+            Ok(chunk) => chunk,
+            Err(error) => return failed(id, &error),
         };
         let choice = &chunk["choices"][0];
         let piece = match shape {
             Shape::Chat => &choice["delta"]["content"],
             Shape::Text => &choice["text"],
         };
+        // The first and the last frame may carry no text.
         text.push_str(piece.as_str().unwrap_or_default());
         if !choice["finish_reason"].is_null() {
             reason = choice["finish_reason"].clone();
--- a/crates/verbenahinge/src/front/service.rs
+++ b/crates/verbenahinge/src/front/service.rs
@@ -12,7 +12,7 @@
 use super::answer::CallerGuard;
 use super::completion::with_id;
 use super::{ErrorCode, Rejection};
-use crate::api_error::refused;
+use crate::api_error::{refused, unreadable_replay};
 use crate::backend::{Replay, decode_outcome};
 use crate::shell::{Call, Part, ServiceAnswer, ServiceCall, Shell};
 
@@ -74,7 +74,7 @@
         Some(Part::Refused(refusal)) => refused(id, &refusal),
         Some(Part::Replayed(outcome)) => match decode_outcome(&outcome) {
             Some(Replay::Service(answer)) => whole(id, answer),
-            _ => with_id(empty(200), id),
+            _ => unreadable_replay(id),
         },
         Some(Part::Frame(_) | Part::End) | None => with_id(empty(502), id),
     })
--- a/crates/verbenahinge/src/peers/service.rs
+++ b/crates/verbenahinge/src/peers/service.rs
@@ -64,6 +64,7 @@
     }
 
     fn check_key<T>(&self, request: &Request<T>) -> Result<(), Status> {
+        // A key that is missing or no text is as wrong as the empty one, which no VM has.
         let shown = request
             .metadata()
             .get(KEY_METADATA)
--- a/crates/verbenahinge/src/request_story.rs
+++ b/crates/verbenahinge/src/request_story.rs
@@ -64,6 +64,7 @@
             .field("lines")
             .filter(|_| line.name() == "log_lines_dropped")
         {
+            // Where the count was cut off, one line at least was dropped.
             self.dropped_lines += lines.parse::<u64>().unwrap_or(1);
         }
         if line.field("request_id").is_none() {
--- a/crates/verbenahinge/tests/whole_answer.rs
+++ b/crates/verbenahinge/tests/whole_answer.rs
@@ -122,3 +122,42 @@
         })
         .await;
 }
+
+/// Asks for an answer that is gathered and sent in one piece.
+async fn ask_whole(fleet: &Fleet, key: &str, max_tokens: u64) -> Answer {
+    let messages = json!([{"role": "user", "content": "gathered"}]);
+    let body = json!({"model": "small", "messages": messages, "max_tokens": max_tokens});
+    let caller = fleet.vm(0).caller().header("idempotency-key", key);
+    caller.post("/v1/chat/completions", &body).await
+}
+
+#[actix_rt::test]
+async fn unreadable_frames_are_no_answer() {
+    let fleet = Fleet::start(BIN, FleetOptions::new()).await;
+    let expected = Expected::new("gathered\n", 9).text();
+    let whole = ask_whole(&fleet, "k1", 9).await;
+    assert_eq!((whole.status, whole.text()), (200, expected));
+    for engine in &fleet.engines {
+        Fleet::faults(engine, json!({"cut_frames": true})).await;
+    }
+    let cut = ask_whole(&fleet, "k2", 9).await;
+    assert_eq!(
+        (cut.status, cut.verdict().as_str()),
+        (502, "may_have_run"),
+        "{cut:?}"
+    );
+}
+
+#[actix_rt::test]
+async fn outcomes_that_are_not_kept() {
+    let options = FleetOptions::new().engine_arg("--token-ms", "1");
+    let fleet = Fleet::start(BIN, options).await;
+    let first = ask_whole(&fleet, "k1", 2000).await;
+    assert_eq!(first.status, 200);
+    let again = ask_whole(&fleet, "k1", 2000).await;
+    let told = (again.code(), again.verdict());
+    assert_eq!(
+        (again.status, told.0.as_str(), told.1.as_str()),
+        (409, "duplicate", "may_have_run")
+    );
+}
