fix(settings): an empty secret counts as missing

Ruled out: the bootstrap token, which is dropped when it is empty, and the gateway's settings file, which refuses empty fields. Change: required settings that are empty are named as missing. Conclusion: found by reading why a missing peer key may count as the empty one.

--- a/crates/verbenahinge/src/settings.rs
+++ b/crates/verbenahinge/src/settings.rs
@@ -112,7 +112,8 @@
             return String::new();
         };
         let value = setting.effective(self.matches, self.env);
-        if value.is_none() && setting.required {
+        // An empty secret would let in whoever shows none.
+        if setting.required && value.as_deref().is_none_or(str::is_empty) {
             let variable = setting.variable();
             self.problems
                 .push(format!("--{flag}: missing; set it or {variable}"));
