fix(cli): a reader that leaves early is no failure

Cause: `verbenahinge explain … | head -1` ended with a panic and exit code 101, the first thing that someone on call would meet; so did every command that prints. Ruled out: ending quietly at the first failed write; `apply` has more to do than to print. Change: commands print through one function, which passes over a closed pipe and tells of any other error. Conclusion: found by using the new command as it will be used.

--- a/crates/verbenahinge/src/cli.rs
+++ b/crates/verbenahinge/src/cli.rs
@@ -14,6 +14,7 @@
 mod gateway;
 mod inspect;
 mod load;
+mod output;
 mod remote;
 mod serve;
 
@@ -23,6 +24,7 @@
 use strum::{EnumIter, EnumMessage, EnumString, IntoEnumIterator, IntoStaticStr};
 
 use self::error::CliError;
+use self::output::write_out;
 
 /// The command did what it was asked to do.
 pub const EXIT_OK: u8 = 0;
@@ -87,11 +89,11 @@
     };
     match name.as_str() {
         "--help" | "-h" | "help" => {
-            print!("{}", usage());
+            write_out(format_args!("{}", usage()));
             return Ok(EXIT_OK);
         }
         "--version" | "-V" => {
-            println!("verbenahinge {}", env!("CARGO_PKG_VERSION"));
+            write_out(format_args!("verbenahinge {}\n", env!("CARGO_PKG_VERSION")));
             return Ok(EXIT_OK);
         }
         _ => {}
@@ -139,7 +141,10 @@
         .parse(args)
         .map_err(|error| CliError::Usage(error.to_string()))?;
     if matches.opt_present("help") {
-        print!("{}", options.usage(&format!("Usage: verbenahinge {brief}")));
+        write_out(format_args!(
+            "{}",
+            options.usage(&format!("Usage: verbenahinge {brief}"))
+        ));
         return Ok(None);
     }
     Ok(Some(matches))
--- a/crates/verbenahinge/src/cli/declare.rs
+++ b/crates/verbenahinge/src/cli/declare.rs
@@ -7,6 +7,7 @@
 use verbenahinge_core::{Declaration, DeclarationError};
 
 use super::error::CliError;
+use super::output::write_out;
 use super::remote::Remote;
 use super::{EXIT_OK, one_argument, parse};
 
@@ -46,20 +47,20 @@
         return print_check(checked);
     }
     let declaration = checked?;
-    println!(
-        "{path}: valid: {} accounts, {} classes, {} pools, {} operators",
+    write_out(format_args!(
+        "{path}: valid: {} accounts, {} classes, {} pools, {} operators\n",
         declaration.accounts.len(),
         declaration.classes.len(),
         declaration.pools.len(),
         declaration.operators.len()
-    );
+    ));
     Ok(EXIT_OK)
 }
 
 fn print_check(checked: Result<Declaration, CliError>) -> Result<u8, CliError> {
     match checked {
         Ok(_) => {
-            println!("{}", json!({"valid": true, "problems": []}));
+            write_out(format_args!("{}\n", json!({"valid": true, "problems": []})));
             Ok(EXIT_OK)
         }
         Err(CliError::Declaration { path, source }) => {
@@ -67,7 +68,10 @@
                 DeclarationError::Invalid(problems) => json!(problems),
                 other => json!([{"path": "", "message": other.to_string()}]),
             };
-            println!("{}", json!({"valid": false, "problems": problems}));
+            write_out(format_args!(
+                "{}\n",
+                json!({"valid": false, "problems": problems})
+            ));
             Err(CliError::Declaration { path, source })
         }
         Err(error) => Err(error),
@@ -80,7 +84,7 @@
         return Ok(EXIT_OK);
     };
     let key = one_argument(&matches, "key")?;
-    println!("{}", blake3::hash(key.as_bytes()).to_hex());
+    write_out(format_args!("{}\n", blake3::hash(key.as_bytes()).to_hex()));
     Ok(EXIT_OK)
 }
 
@@ -96,12 +100,18 @@
         let (current, version) = remote.config().await?;
         let patch = current.diff(&target);
         if matches.opt_present("json") {
-            println!("{}", json!({"base": version, "patch": patch}));
+            write_out(format_args!(
+                "{}\n",
+                json!({"base": version, "patch": patch})
+            ));
             return Ok(EXIT_OK);
         }
-        println!("against version {version}: {} changes", patch.len());
+        write_out(format_args!(
+            "against version {version}: {} changes\n",
+            patch.len()
+        ));
         for operation in patch.iter() {
-            println!("  {operation}");
+            write_out(format_args!("  {operation}\n"));
         }
         Ok(EXIT_OK)
     })
@@ -123,7 +133,9 @@
         let (current, base) = remote.config().await?;
         let patch = current.diff(&target);
         if patch.is_empty() {
-            println!("version {base} is already what the file declares");
+            write_out(format_args!(
+                "version {base} is already what the file declares\n"
+            ));
             return Ok(EXIT_OK);
         }
         let version = submit(&remote, &base, &json!(patch)).await?;
@@ -175,11 +187,13 @@
 fn print_in_force(version: u64, status: &Value, matches: &Matches) {
     let (on, vms) = (&status["in_force_on"], &status["vms"]);
     if matches.opt_present("json") {
-        println!(
-            "{}",
+        write_out(format_args!(
+            "{}\n",
             json!({"version": version, "in_force_on": on, "vms": vms})
-        );
+        ));
     } else {
-        println!("version {version} is in force on {on} of {vms} VMs");
+        write_out(format_args!(
+            "version {version} is in force on {on} of {vms} VMs\n"
+        ));
     }
 }
--- a/crates/verbenahinge/src/cli/explain.rs
+++ b/crates/verbenahinge/src/cli/explain.rs
@@ -7,6 +7,7 @@
 use serde_json::json;
 
 use super::error::CliError;
+use super::output::write_out;
 use super::remote::Remote;
 use super::{EXIT_OK, inspect, one_argument, parse};
 use crate::request_story::RequestStory;
@@ -47,9 +48,12 @@
         )));
     }
     if matches.opt_present("json") {
-        println!("{}", json!({"request_id": request, "cause": story.cause()}));
+        write_out(format_args!(
+            "{}\n",
+            json!({"request_id": request, "cause": story.cause()})
+        ));
     } else {
-        print!("{story}");
+        write_out(format_args!("{story}"));
     }
     Ok(EXIT_OK)
 }
--- a/crates/verbenahinge/src/cli/gateway.rs
+++ b/crates/verbenahinge/src/cli/gateway.rs
@@ -6,6 +6,7 @@
 use verbenahinge_platform::NODE_FILE_VARIABLE;
 
 use super::error::CliError;
+use super::output::write_out;
 use super::{EXIT_OK, environment, parse};
 use crate::gateway;
 use crate::log_writer::LogWriter;
@@ -49,7 +50,11 @@
     let settings = gateway::read_settings(&path)
         .map_err(|problems| CliError::Usage(problems.join("\nverbenahinge: ")))?;
     if matches.opt_present("check") {
-        println!("{}: VM {} is well set up", path.display(), settings.name);
+        write_out(format_args!(
+            "{}: VM {} is well set up\n",
+            path.display(),
+            settings.name
+        ));
         return Ok(EXIT_OK);
     }
     LogWriter::start(level);
--- a/crates/verbenahinge/src/cli/inspect.rs
+++ b/crates/verbenahinge/src/cli/inspect.rs
@@ -4,6 +4,7 @@
 use serde_json::Value;
 
 use super::error::CliError;
+use super::output::write_out;
 use super::remote::Remote;
 use super::{EXIT_OK, parse};
 
@@ -16,9 +17,9 @@
 
 fn print(body: &Value, compact: bool) {
     if compact {
-        println!("{body}");
+        write_out(format_args!("{body}\n"));
     } else {
-        println!("{body:#}");
+        write_out(format_args!("{body:#}\n"));
     }
 }
 
--- a/crates/verbenahinge/src/cli/load.rs
+++ b/crates/verbenahinge/src/cli/load.rs
@@ -12,6 +12,7 @@
 use serde_json::json;
 
 use super::error::CliError;
+use super::output::write_out;
 use super::{EXIT_OK, parse};
 
 /// Requests of one run at most.
@@ -148,5 +149,5 @@
         "first_byte_us": {"p50": quantile(&mut first, 50), "p99": quantile(&mut first, 99)},
         "total_us": {"p50": quantile(&mut total, 50), "p99": quantile(&mut total, 99)},
     });
-    println!("{report}");
+    write_out(format_args!("{report}\n"));
 }
--- a/crates/verbenahinge/src/cli/serve.rs
+++ b/crates/verbenahinge/src/cli/serve.rs
@@ -4,6 +4,7 @@
 use simplelog::{Config, ConfigBuilder, WriteLogger};
 
 use super::error::CliError;
+use super::output::write_out;
 use super::{EXIT_OK, environment, parse};
 use crate::settings::Settings;
 
@@ -16,7 +17,7 @@
     };
     let env = environment();
     if matches.opt_present("print-settings") {
-        print!("{}", Settings::print(&matches, &env));
+        write_out(format_args!("{}", Settings::print(&matches, &env)));
         return Ok(EXIT_OK);
     }
     let settings = Settings::read(&matches, &env)
--- a/crates/verbenahinge/tests/checked_settings.rs
+++ b/crates/verbenahinge/tests/checked_settings.rs
@@ -23,6 +23,9 @@
 fn all_problems_are_told() {
     let told = problems(&["--listen=nowhere"]);
     for flag in ["--listen", "--platform", "--peer-key"] {
-        assert!(told.iter().any(|problem| problem.starts_with(flag)), "{flag} not in {told:?}");
+        assert!(
+            told.iter().any(|problem| problem.starts_with(flag)),
+            "{flag} not in {told:?}"
+        );
     }
 }
--- a/crates/verbenahinge/tests/explain_log.rs
+++ b/crates/verbenahinge/tests/explain_log.rs
@@ -62,6 +62,19 @@
     assert_eq!(value["request_id"], "odd");
 }
 
+#[test]
+fn readers_may_leave_early() {
+    let (reader, writer) = std::io::pipe().expect("a pipe");
+    drop(reader);
+    let output = Command::new(BIN)
+        .arg("--help")
+        .stdout(writer)
+        .output()
+        .expect("the binary runs");
+    let error = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!((output.status.code(), error.as_str()), (Some(0), ""));
+}
+
 #[test]
 fn causes_of_refusals() {
     let line = |detail: &str, more: &str| {
