refactor: usual bounds and entries of servers are made in one place

Cause: the bounds of a usual deployment stood in three places, entries of servers in four, one of each added by the slopes of the gateway. Ruled out: a crate of fixtures for these two; tests of the core and measurements share the core alone. Change: Bounds::default, and ServerEntry::new with setters. The shared run of four lines that is left makes a state; the lists of constants in members, placement and peers only look alike. Conclusion: a new bound or field has one place to be added.

--- a/crates/verbenahinge-bench/src/gateway_slopes.rs
+++ b/crates/verbenahinge-bench/src/gateway_slopes.rs
@@ -8,7 +8,7 @@
 use verbenahinge_core::Timestamp;
 use verbenahinge_core::gateway::{
     Bounds, Call, EngineLimits, GatewayState, Prompt, PromptPart, Route, RouteKind, Routing,
-    ServerEntry, ServerState, Service, Share,
+    ServerEntry, Service, Share,
 };
 
 /// Services over which the servers are spread, as models are at the target size.
@@ -69,27 +69,12 @@
         let name = service_name(index);
         routing.services.insert(name.as_str().into(), service);
     }
-    let bounds = Bounds {
-        shutdown_grace: Duration::from_secs(8),
-        drain: Duration::from_secs(2),
-        config_apply: Duration::from_secs(2),
-        retry_ratio: 0.2,
-        retry_slack: 60.0,
-        retry_window: Duration::from_secs(10),
-    };
-    let mut state = GatewayState::new(1, "a".into(), bounds);
+    let mut state = GatewayState::new(1, "a".into(), Bounds::default());
     state.adopt_routing(routing);
     for index in 0..servers {
-        state.upsert_server(ServerEntry {
-            id: format!("server-{index:05}").as_str().into(),
-            service: service_name(index).as_str().into(),
-            address: ([127, 0, 0, 1], 1).into(),
-            availability_zone: "a".into(),
-            slots: 64,
-            state: ServerState::Ready,
-            warm_up: Duration::ZERO,
-            started_unix_ms: None,
-        });
+        let name = format!("server-{index:05}");
+        let entry = ServerEntry::new(&name, &service_name(index), ([127, 0, 0, 1], 1).into());
+        state.upsert_server(entry.availability_zone("a").slots(64));
     }
     state.complete_registry();
     state
--- a/crates/verbenahinge-core/src/gateway/bounds.rs
+++ b/crates/verbenahinge-core/src/gateway/bounds.rs
@@ -20,3 +20,17 @@
 }
 
 impl Eq for Bounds {}
+
+/// Bounds of a usual deployment, for examples, tests and measurements; a VM reads its own.
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            shutdown_grace: Duration::from_secs(8),
+            drain: Duration::from_secs(2),
+            config_apply: Duration::from_secs(2),
+            retry_ratio: 0.2,
+            retry_slack: 60.0,
+            retry_window: Duration::from_secs(10),
+        }
+    }
+}
--- a/crates/verbenahinge-core/src/gateway/registry.rs
+++ b/crates/verbenahinge-core/src/gateway/registry.rs
@@ -44,6 +44,44 @@
     pub started_unix_ms: Option<u64>,
 }
 
+impl ServerEntry {
+    /// Creates the entry of a server that takes one request at a time in a zone without a name.
+    #[must_use]
+    pub fn new(id: &str, service: &str, address: SocketAddr) -> Self {
+        Self {
+            id: id.into(),
+            service: service.into(),
+            address,
+            availability_zone: "".into(),
+            slots: 1,
+            state: ServerState::Ready,
+            warm_up: Duration::ZERO,
+            started_unix_ms: None,
+        }
+    }
+
+    /// Sets the availability zone.
+    #[must_use]
+    pub fn availability_zone(mut self, zone: &str) -> Self {
+        self.availability_zone = zone.into();
+        self
+    }
+
+    /// Sets how many requests it runs at once.
+    #[must_use]
+    pub const fn slots(mut self, slots: u32) -> Self {
+        self.slots = slots;
+        self
+    }
+
+    /// Sets whether it takes new requests.
+    #[must_use]
+    pub const fn state(mut self, state: ServerState) -> Self {
+        self.state = state;
+        self
+    }
+}
+
 /// What became of a backend server.
 #[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "snake_case")]
--- a/crates/verbenahinge-core/tests/server_order.rs
+++ b/crates/verbenahinge-core/tests/server_order.rs
@@ -31,16 +31,9 @@
 }
 
 fn entry(id: &str, service: &str, state: ServerState) -> ServerEntry {
-    ServerEntry {
-        id: id.into(),
-        service: service.into(),
-        address: ([127, 0, 0, 1], 1).into(),
-        availability_zone: "a".into(),
-        slots: 8,
-        state,
-        warm_up: Duration::ZERO,
-        started_unix_ms: None,
-    }
+    ServerEntry::new(id, service, ([127, 0, 0, 1], 1).into())
+        .slots(8)
+        .state(state)
 }
 
 #[test]
--- a/crates/verbenahinge-core/tests/support/engines.rs
+++ b/crates/verbenahinge-core/tests/support/engines.rs
@@ -6,7 +6,7 @@
 use verbenahinge_core::Timestamp;
 use verbenahinge_core::gateway::{
     Bounds, Call, EngineLimits, GatewayState, Prompt, PromptPart, Route, RouteKind, Routing,
-    ServerEntry, ServerState, Service, Share,
+    ServerEntry, Service, Share,
 };
 
 /// A route of streams that may be resumed.
@@ -73,28 +73,13 @@
 
 /// A VM that has the configuration and knows so many engines.
 pub(crate) fn state_with(routing: Routing, engines: usize) -> GatewayState {
-    let bounds = Bounds {
-        shutdown_grace: Duration::from_secs(8),
-        drain: Duration::from_secs(2),
-        config_apply: Duration::from_secs(2),
-        retry_ratio: 0.2,
-        retry_slack: 60.0,
-        retry_window: Duration::from_secs(10),
-    };
-    let mut state = GatewayState::new(1, "a".into(), bounds);
+    let mut state = GatewayState::new(1, "a".into(), Bounds::default());
     state.adopt_routing(routing);
     for index in 0..engines {
         let port = 9000 + u16::try_from(index).expect("few engines");
-        state.upsert_server(ServerEntry {
-            id: format!("engine-{index}").into(),
-            service: "engines".into(),
-            address: ([127, 0, 0, 1], port).into(),
-            availability_zone: "a".into(),
-            slots: 64,
-            state: ServerState::Ready,
-            warm_up: Duration::ZERO,
-            started_unix_ms: None,
-        });
+        let name = format!("engine-{index}");
+        let entry = ServerEntry::new(&name, "engines", ([127, 0, 0, 1], port).into());
+        state.upsert_server(entry.availability_zone("a").slots(64));
     }
     state.complete_registry();
     state
--- a/crates/verbenahinge-testkit/src/gateway_fleet.rs
+++ b/crates/verbenahinge-testkit/src/gateway_fleet.rs
@@ -107,14 +107,7 @@
             peer_port: self.peer_port,
             seeds: vec![SocketAddr::new(seed, self.control_port)],
             store,
-            bounds: Bounds {
-                shutdown_grace: Duration::from_secs(8),
-                drain: Duration::from_secs(2),
-                config_apply: Duration::from_secs(2),
-                retry_ratio: 0.2,
-                retry_slack: 60.0,
-                retry_window: Duration::from_secs(10),
-            },
+            bounds: Bounds::default(),
             memory_mb: 256,
         };
         let file = self.folder.join(format!("{}.conf", settings.name));
--- a/crates/verbenahinge-testkit/src/gateway_fleet/stand_ins.rs
+++ b/crates/verbenahinge-testkit/src/gateway_fleet/stand_ins.rs
@@ -1,7 +1,6 @@
 //! The store and the backend servers of a fleet, and what they are told to do wrong.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
@@ -13,7 +12,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
-use verbenahinge_core::gateway::{ServerEntry, ServerState};
+use verbenahinge_core::gateway::ServerEntry;
 use verbenahinge_emulator::registry_store::{self, StoreFaults};
 use verbenahinge_emulator::scripted_server::{self, Run, ServerFault, ServerFaults};
 use verbenahinge_platform::registry;
@@ -43,15 +42,12 @@
         }
         args.extend(self.server_args.iter().cloned());
         let process = Process::start(&self.bin, &args, address);
+        let entry = ServerEntry::new(id, service, address)
+            .availability_zone("a")
+            .slots(SLOTS);
         let entry = ServerEntry {
-            id: id.into(),
-            service: service.into(),
-            address,
-            availability_zone: "a".into(),
-            slots: SLOTS,
-            state: ServerState::Ready,
-            warm_up: Duration::ZERO,
             started_unix_ms: Some(1),
+            ..entry
         };
         self.register(&entry).await;
         self.servers.push(RegisteredServer { process, entry });
