--- a/crates/verbenahinge-core/src/gateway/state/demand.rs
+++ b/crates/verbenahinge-core/src/gateway/state/demand.rs
@@ -22,7 +22,8 @@
 const GIVE_BACK_PART: f64 = 0.7;
 
 /// Shortest time between two changes of the engines that are kept, for each engine that is looked at
-/// for it: a look takes a microsecond at most, so that all take less than a hundredth of a core.
+/// for it: looks at one service take less than a hundredth of a core where one engine takes less
+/// than two microseconds.
 const LANE_INTERVAL_EACH: Duration = Duration::from_micros(200);
 
 /// Age up to which what VMs told stands for the others.
