--- a/crates/verbenahinge-emulator/src/registry_store.rs
+++ b/crates/verbenahinge-emulator/src/registry_store.rs
@@ -1,7 +1,9 @@
 //! Emulator of the platform's registry store: rows, transactions, watches and fault injection.
 //!
 //! `PUT /stand-in/faults` sets the [`StoreFaults`] from a JSON body; `GET /stand-in/watches` returns
-//! the number of pending watches by table.
+//! the number of pending watches by table. `PUT /stand-in/rollback` restores the rows of the version
+//! in the JSON body and begins the next era; `GET /stand-in/statuses` returns the number of responses
+//! by status.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -12,6 +14,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -20,8 +23,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use verbenahinge_platform::store::{
-    READ_PATH, RowJson, RowsJson, SINCE_PARAMETER, TransactionJson, WAIT_PARAMETER, WATCH_PATH,
-    WRITE_PATH,
+    ERA_HEADER, READ_PATH, RowJson, RowsJson, SINCE_PARAMETER, TransactionJson, WAIT_PARAMETER,
+    WATCH_PATH, WRITE_PATH,
 };
 
 /// Path for setting the [`StoreFaults`].
@@ -30,6 +33,21 @@
 /// Path for reading the number of pending watches by table.
 pub const WATCHES_PATH: &str = "/stand-in/watches";
 
+/// Path for restoring the rows of an earlier version.
+pub const ROLLBACK_PATH: &str = "/stand-in/rollback";
+
+/// Path for reading the number of responses by status.
+pub const STATUSES_PATH: &str = "/stand-in/statuses";
+
+/// Path for reading the newest version.
+pub const VERSION_PATH: &str = "/stand-in/version";
+
+/// Number of versions that can be restored.
+const MAX_COPIES: usize = 256;
+
+/// Rows by table and key.
+type TableRows = BTreeMap<(String, String), RowJson>;
+
 /// Faults of the store.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default)]
@@ -57,8 +75,11 @@
 
 #[derive(Default)]
 struct Store {
-    rows: RefCell<BTreeMap<(String, String), RowJson>>,
+    rows: RefCell<TableRows>,
     version: Cell<u64>,
+    era: Cell<u64>,
+    copies: RefCell<BTreeMap<u64, TableRows>>,
+    statuses: RefCell<BTreeMap<u16, usize>>,
     faults: RefCell<StoreFaults>,
     changed: Notify,
     pending_watches: RefCell<BTreeMap<String, usize>>,
@@ -102,7 +123,7 @@
         actix_rt::spawn(async move {
             let service = service_fn(|request| {
                 let store = Rc::clone(&store);
-                async move { Ok::<_, Infallible>(store.handle(request).await) }
+                async move { Ok::<_, Infallible>(store.respond(request).await) }
             });
             let result = http1::Builder::new()
                 .serve_connection(TokioIo::new(stream), service)
@@ -115,6 +136,15 @@
 }
 
 impl Store {
+    async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let mut response = self.handle(request).await;
+        let era = HeaderValue::from(self.era.get());
+        response.headers_mut().insert(ERA_HEADER, era);
+        let status = response.status().as_u16();
+        *self.statuses.borrow_mut().entry(status).or_default() += 1;
+        response
+    }
+
     async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let (parts, body) = request.into_parts();
         let Ok(body) = body.collect().await else {
@@ -124,8 +154,12 @@
         if parts.uri.path() == FAULTS_PATH {
             return self.set_faults(&body);
         }
-        if parts.uri.path() == WATCHES_PATH {
-            return json_response(&*self.pending_watches.borrow());
+        match parts.uri.path() {
+            WATCHES_PATH => return json_response(&*self.pending_watches.borrow()),
+            STATUSES_PATH => return json_response(&*self.statuses.borrow()),
+            VERSION_PATH => return json_response(&self.version.get()),
+            ROLLBACK_PATH => return self.roll_back(&body),
+            _ => {}
         }
         let faults = self.faults.borrow().clone();
         if faults.is_silent {
@@ -153,6 +187,23 @@
         empty_response(StatusCode::OK)
     }
 
+    /// Restores the rows of an earlier version; later versions are given out again.
+    fn roll_back(&self, body: &Bytes) -> Response<Full<Bytes>> {
+        let Ok(version) = serde_json::from_slice::<u64>(body) else {
+            return empty_response(StatusCode::BAD_REQUEST);
+        };
+        let copy = self.copies.borrow().get(&version).cloned();
+        let Some(rows) = copy.or_else(|| (version == 0).then(TableRows::new)) else {
+            return empty_response(StatusCode::NOT_FOUND);
+        };
+        self.copies.borrow_mut().split_off(&(version + 1));
+        self.rows.replace(rows);
+        self.version.set(version);
+        self.era.set(self.era.get() + 1);
+        self.changed.notify_waiters();
+        empty_response(StatusCode::OK)
+    }
+
     fn read(&self, query: &BTreeMap<String, String>) -> RowsJson {
         let table = query.get("table").map_or("", String::as_str);
         let rows = self.rows.borrow();
@@ -172,7 +223,8 @@
     async fn watch(&self, query: &BTreeMap<String, String>) -> Response<Full<Bytes>> {
         let parse_number = |name: &str| query.get(name).and_then(|text| text.parse::<u64>().ok());
         let since = parse_number(SINCE_PARAMETER).unwrap_or(0);
-        if since < self.faults.borrow().history_from {
+        let era = self.era.get();
+        if since < self.faults.borrow().history_from || since > self.version.get() {
             return empty_response(StatusCode::GONE);
         }
         let wait = Duration::from_millis(parse_number(WAIT_PARAMETER).unwrap_or(0));
@@ -180,6 +232,9 @@
         let deadline = tokio::time::Instant::now() + wait;
         loop {
             let changed = self.changed.notified();
+            if self.era.get() != era {
+                return empty_response(StatusCode::SERVICE_UNAVAILABLE);
+            }
             let mut rows = self.rows_changed_since(&table, since);
             let is_expired = tokio::time::Instant::now() >= deadline;
             if !rows.is_empty() || is_expired {
@@ -233,6 +288,11 @@
             row.tombstone = tombstone;
             rows.insert((row.table.clone(), row.key.clone()), row);
         }
+        let mut copies = self.copies.borrow_mut();
+        copies.insert(version, rows.clone());
+        while copies.len() > MAX_COPIES {
+            copies.pop_first();
+        }
         drop(rows);
         self.changed.notify_waiters();
         json_response(&RowsJson {
--- a/crates/verbenahinge-testkit/src/gateway_fleet/emulators.rs
+++ b/crates/verbenahinge-testkit/src/gateway_fleet/emulators.rs
@@ -19,7 +19,8 @@
 use verbenahinge_emulator::scripted_server::{self, ExecutedRequest, ServerFault, ServerFaults};
 use verbenahinge_platform::registry;
 use verbenahinge_platform::store::{
-    CONFIG_KEY, OPERATOR_TABLE, RowJson, SERVER_TABLE, TransactionJson, WRITE_PATH,
+    CONFIG_KEY, OPERATOR_TABLE, READ_PATH, RowJson, RowsJson, SERVER_TABLE, TransactionJson,
+    WRITE_PATH,
 };
 
 use super::{GatewayFleet, POLL_INTERVAL, SETTLE_TIMEOUT};
@@ -116,6 +117,36 @@
         assert!(send_json(self.store.address(), Method::PUT, path, faults).await);
     }
 
+    /// Newest version of the store.
+    pub async fn store_version(&self) -> u64 {
+        get_json(self.store.address(), registry_store::VERSION_PATH).await
+    }
+
+    /// Restores the store from its copy of an earlier version, as after a loss of its disks.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the store has no copy of that version.
+    pub async fn roll_back_store(&self, version: u64) {
+        let path = registry_store::ROLLBACK_PATH;
+        let is_restored = send_json(self.store.address(), Method::PUT, path, &version).await;
+        assert!(is_restored, "the store has no copy of version {version}");
+    }
+
+    /// Number of responses of the store with a status.
+    pub async fn store_responses(&self, status: u16) -> usize {
+        let statuses: BTreeMap<u16, usize> =
+            get_json(self.store.address(), registry_store::STATUSES_PATH).await;
+        statuses.get(&status).copied().unwrap_or(0)
+    }
+
+    /// Keys of the rows of a table, as the store lists them.
+    pub async fn store_keys(&self, table: &str) -> Vec<String> {
+        let path = format!("{READ_PATH}?table={table}&part=");
+        let rows: RowsJson = get_json(self.store.address(), &path).await;
+        rows.rows.into_iter().map(|row| row.key).collect()
+    }
+
     /// Waits until a number of watches of a table are pending at the store.
     ///
     /// # Panics
