feat(gateway): log the store's era, ignored responses, and crash records from other VMs

CONFIG: whether the store went back (302), a response was ignored because it was older than the replica (303), a watch got 410 (304). BUDGET: when a VM learned a crash record and from whom (405), and when it dropped one (406). No decision changed.

--- a/crates/verbenahinge-core/src/gateway/crash_guard.rs
+++ b/crates/verbenahinge-core/src/gateway/crash_guard.rs
@@ -30,9 +30,9 @@
         self.quarantine.record_crash(now, fingerprint, crash)
     }
 
-    /// Records that a request ran to completion.
-    pub fn note_completed(&mut self, fingerprint: Fingerprint) {
-        self.quarantine.record_completion(fingerprint);
+    /// Records that a request ran to completion; returns whether that dropped a record.
+    pub fn note_completed(&mut self, fingerprint: Fingerprint) -> bool {
+        self.quarantine.record_completion(fingerprint)
     }
 
     /// Returns whether a request must not run again.
--- a/crates/verbenahinge-core/src/gateway/state.rs
+++ b/crates/verbenahinge-core/src/gateway/state.rs
@@ -352,9 +352,9 @@
         self.crash_guard.note_crash(now, fingerprint, crash)
     }
 
-    /// Records that a request ran to completion.
-    pub fn note_completed(&mut self, fingerprint: Fingerprint) {
-        self.crash_guard.note_completed(fingerprint);
+    /// Records that a request ran to completion; returns whether that dropped a crash record.
+    pub fn note_completed(&mut self, fingerprint: Fingerprint) -> bool {
+        self.crash_guard.note_completed(fingerprint)
     }
 
     /// Whether a request must not run again.
--- a/crates/verbenahinge-core/src/gateway/state/peer_digest.rs
+++ b/crates/verbenahinge-core/src/gateway/state/peer_digest.rs
@@ -106,15 +106,20 @@
         }
     }
 
-    /// Applies a digest of another VM; returns whether the VM is new.
-    pub fn apply_digest(&mut self, now: Timestamp, digest: &PeerDigest) -> bool {
+    /// Applies a digest of another VM; returns the fingerprints for which it names new crashes.
+    pub fn apply_digest(&mut self, now: Timestamp, digest: &PeerDigest) -> Vec<Fingerprint> {
+        let mut learned = Vec::new();
         for (&fingerprint, crashes) in digest
             .crashes
             .iter()
             .map(|(fingerprint, crashes)| (fingerprint, crashes))
         {
+            let mut has_new = false;
             for &crash in crashes {
-                self.crash_guard.note_crash(now, fingerprint, crash);
+                has_new |= self.crash_guard.note_crash(now, fingerprint, crash);
+            }
+            if has_new {
+                learned.push(fingerprint);
             }
         }
         for server in &digest.servers {
@@ -129,6 +134,7 @@
             last_digest_at: now,
             interactive_tokens_per_s: digest.interactive_tokens_per_s,
         };
-        self.peers.insert(digest.vm, peer).is_none()
+        self.peers.insert(digest.vm, peer);
+        learned
     }
 }
--- a/crates/verbenahinge-core/src/quarantine.rs
+++ b/crates/verbenahinge-core/src/quarantine.rs
@@ -107,11 +107,11 @@
         }
     }
 
-    /// Clears a fingerprint whose request ran to completion, unless it is quarantined.
-    pub fn record_completion(&mut self, fingerprint: Fingerprint) {
-        if self.status(fingerprint) != QuarantineStatus::Quarantined {
-            self.records.remove(&fingerprint);
-        }
+    /// Clears a fingerprint whose request ran to completion, unless it is quarantined; returns
+    /// whether there was a record.
+    pub fn record_completion(&mut self, fingerprint: Fingerprint) -> bool {
+        self.status(fingerprint) != QuarantineStatus::Quarantined
+            && self.records.remove(&fingerprint).is_some()
     }
 
     /// Returns the status of a fingerprint.
--- a/crates/verbenahinge/src/event_log.rs
+++ b/crates/verbenahinge/src/event_log.rs
@@ -39,6 +39,12 @@
     PlatformUnavailable = 300,
     /// The platform responds again.
     PlatformAvailable = 301,
+    /// The store returned from an older copy and began another era of versions.
+    StoreEraChanged = 302,
+    /// A response of the store was older than the replica, and was not applied.
+    StoreResponseIgnored = 303,
+    /// The store no longer has the version that a replica has applied.
+    StoreVersionUnknown = 304,
     /// A backend server was ejected.
     ServerEjected = 400,
     /// An ejected backend server receives requests again.
@@ -49,6 +55,10 @@
     ServerUnreadable = 403,
     /// A backend server crashed while it ran a request.
     ServerCrashed = 404,
+    /// Another VM named crashes of servers that were running one request.
+    CrashRecordLearned = 405,
+    /// A crash record was dropped, since its request ran to completion.
+    CrashRecordDropped = 406,
     /// A request was refused.
     RequestRefused = 500,
     /// A request was refused because it crashed backend servers.
@@ -83,6 +93,9 @@
             Self::TaskRestarted | Self::PeerRejected => log::Level::Error,
             Self::PatchRejected
             | Self::PlatformUnavailable
+            | Self::StoreEraChanged
+            | Self::StoreResponseIgnored
+            | Self::StoreVersionUnknown
             | Self::ReloadFailed
             | Self::LogLinesDropped
             | Self::AcceptFailed
--- a/crates/verbenahinge/src/gateway.rs
+++ b/crates/verbenahinge/src/gateway.rs
@@ -81,6 +81,13 @@
         id
     }
 
+    /// Records that a request ran to completion.
+    pub(crate) fn record_completion(&self, fingerprint: Fingerprint) {
+        if self.state.borrow_mut().note_completed(fingerprint) {
+            LogEvent::CrashRecordDropped.log(&[("fingerprint", &format!("{fingerprint:016x}"))]);
+        }
+    }
+
     /// Checks in the background whether a server whose connection broke has crashed.
     ///
     /// A crashed server refuses a new connection, while one that only lost a connection accepts it.
--- a/crates/verbenahinge/src/gateway/peers.rs
+++ b/crates/verbenahinge/src/gateway/peers.rs
@@ -216,10 +216,18 @@
     if message.query_id > 0 {
         handle_query_or_reply(gateway, from, &mut message);
     }
-    gateway
-        .state
-        .borrow_mut()
-        .apply_digest(now, &message.into_digest());
+    let digest = message.into_digest();
+    let learned = gateway.state.borrow_mut().apply_digest(now, &digest);
+    for fingerprint in learned {
+        LogEvent::CrashRecordLearned.log(&[
+            ("fingerprint", &format!("{fingerprint:016x}")),
+            ("peer", &from),
+            (
+                "quarantined",
+                &gateway.state.borrow().is_quarantined(fingerprint),
+            ),
+        ]);
+    }
     if gateway.peers.members.borrow_mut().record_message(now, from) {
         LogEvent::PeerLinked.log(&[("address", &from)]);
         send_welcome(gateway, from, known_count);
--- a/crates/verbenahinge/src/gateway/relay.rs
+++ b/crates/verbenahinge/src/gateway/relay.rs
@@ -340,8 +340,9 @@
             let mut state = self.handler.gateway.state.borrow_mut();
             let now = self.handler.gateway.now();
             state.note_answer(now, &server, true);
-            state.note_completed(self.handler.call.fingerprint);
         }
+        let fingerprint = self.handler.call.fingerprint;
+        self.handler.gateway.record_completion(fingerprint);
         self.upstream.release_connection();
         self.handler
             .record_outcome("answered", Some(&server), Some(StatusCode::OK), &"");
--- a/crates/verbenahinge/src/gateway/request_handler/final_response.rs
+++ b/crates/verbenahinge/src/gateway/request_handler/final_response.rs
@@ -29,8 +29,7 @@
         *response.headers_mut() = http_headers::without_hop_by_hop(&buffered.headers);
         self.record_outcome("answered", Some(server), Some(buffered.status), &"");
         if buffered.status.is_success() {
-            let mut state = self.gateway.state.borrow_mut();
-            state.note_completed(self.call.fingerprint);
+            self.gateway.record_completion(self.call.fingerprint);
         }
         response
     }
--- a/crates/verbenahinge/src/gateway/watch.rs
+++ b/crates/verbenahinge/src/gateway/watch.rs
@@ -1,5 +1,6 @@
 //! Replicas of the store's tables, kept up to date by watching the store or by other VMs.
 
+mod response_log;
 mod row_changes;
 mod store_health;
 
@@ -17,6 +18,7 @@
     OPERATOR_TABLE, Rows, SERVER_TABLE, StoreClient, StoreError, VM_TABLE,
 };
 
+use self::response_log::ResponseLog;
 pub(super) use self::row_changes::apply_peer_delta;
 use self::row_changes::apply_store_rows;
 use self::store_health::StoreHealth;
@@ -104,6 +106,7 @@
     let mut store = StoreClient::new(gateway.settings.borrow().store);
     let mut health = StoreHealth::new(table_name(feed));
     let mut needs_snapshot = false;
+    let mut response_log = ResponseLog::new(table_name(feed));
     loop {
         if !is_watcher(&gateway, feed) {
             actix_rt::time::sleep(WATCHER_CHECK_INTERVAL).await;
@@ -122,10 +125,14 @@
                 let heartbeat = gateway.settings.borrow().bounds.server_heartbeat;
                 let gap = health.record_success(now, age, heartbeat);
                 needs_snapshot = false;
+                response_log.record_rows(&gateway, feed, &rows);
                 apply_store_rows(&gateway, feed, rows, is_snapshot, gap);
                 peers::register_once(&gateway);
             }
-            Err(StoreError::VersionTooOld) => needs_snapshot = true,
+            Err(StoreError::VersionTooOld) => {
+                needs_snapshot = true;
+                response_log.record_unknown_version(&gateway, feed);
+            }
             Err(error) => health.back_off(sent_at, gateway.now(), &error).await,
         }
     }
