fix(gateway): versions of the store are compared by era first

Callers saw: a key that the operator had removed, and routes of older versions, were served for seconds after a newer configuration had been acknowledged, on several VMs at once (CONFIG).

Cause: a store that returns from an older copy gives out versions again. Replicas compared numbers alone, so they ignored every response below the number they had reached, and a watch from a number that was given out again hides the changes below it. Class: a version that is unique only within an era of its issuer is compared across eras.

Why it works: StoreVersion orders by era, then number, so every comparison (replicas, deltas, digests, tombstones) says 'newer' for what came after the return; a replica enters an era with a whole table only; a response of another era is followed by a whole read. The operator's version orders configurations: VMs keep the newest, pass it on, and name it in digests. Servers that the copy lacks lapse; those that had left are not used again. Addresses are written again, with retries.

Ruled out for this fault: a silent outage that is noticed late.

--- a/crates/verbenahinge-core/src/gateway.rs
+++ b/crates/verbenahinge-core/src/gateway.rs
@@ -22,6 +22,7 @@
 mod server_order;
 mod state;
 mod store_contact;
+mod store_version;
 
 pub use self::backend::{Backend, LoadReport, PeerLoad, PrefillLoad};
 pub use self::bounds::Bounds;
@@ -44,3 +45,4 @@
 pub use self::server_order::ServerOrder;
 pub use self::state::{GatewayState, PeerDigest, ServerDigest};
 pub use self::store_contact::{REREGISTER_GRACE, StoreContact, StoreGap};
+pub use self::store_version::StoreVersion;
--- a/crates/verbenahinge-core/src/gateway/feed.rs
+++ b/crates/verbenahinge-core/src/gateway/feed.rs
@@ -10,7 +10,7 @@
 
 use strum::{EnumIter, IntoStaticStr};
 
-use super::StoreGap;
+use super::{StoreGap, StoreVersion};
 use crate::{ServerName, Timestamp};
 
 /// Largest fleet in which every VM watches the store: so few watches cost little, and any group of
@@ -72,16 +72,16 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct FeedDelta {
     /// Oldest version that the changes apply to; `None` if `rows` is the whole table.
-    pub base: Option<u64>,
+    pub base: Option<StoreVersion>,
     /// Version after the changes.
-    pub version: u64,
+    pub version: StoreVersion,
     /// Changed rows.
     pub rows: Vec<RowChange>,
 }
 
 #[derive(Clone, Debug)]
 struct ReplicaRow {
-    version: u64,
+    version: StoreVersion,
     state: RowState,
 }
 
@@ -96,7 +96,7 @@
 pub struct StoreRow {
     /// Key of the row.
     pub key: String,
-    /// Version of the last change; for a removed row, that of its last value.
+    /// Number of the version of the last change; for a removed row, that of its last value.
     pub version: u64,
     /// Value, or `None` if the row was removed.
     pub value: Option<Arc<[u8]>>,
@@ -105,27 +105,28 @@
 /// Replica of one table of the store.
 ///
 /// The store has one version counter for all tables, so a replica tracks two versions: the one of
-/// the last change in this table, and the one up to which it has applied all changes.
+/// the last change in this table, and the one up to which it has applied all changes. A replica moves
+/// to a later era of the store with a whole table only.
 #[derive(Clone, Debug, Default)]
 pub struct TableReplica {
     rows: BTreeMap<String, ReplicaRow>,
-    last_changed_version: u64,
-    applied_until: Option<u64>,
+    last_changed_version: StoreVersion,
+    applied_until: Option<StoreVersion>,
     /// Version up to which removals may be missing from `rows`.
-    forgotten_until: u64,
+    forgotten_until: StoreVersion,
     confirmed_at: Option<Timestamp>,
 }
 
 impl TableReplica {
     /// Version up to which all changes are applied; `None` before the first read.
     #[must_use]
-    pub const fn applied_until(&self) -> Option<u64> {
+    pub const fn applied_until(&self) -> Option<StoreVersion> {
         self.applied_until
     }
 
     /// Version of the last change in this table; `None` before the first read.
     #[must_use]
-    pub const fn last_changed_version(&self) -> Option<u64> {
+    pub const fn last_changed_version(&self) -> Option<StoreVersion> {
         match self.applied_until {
             Some(_) => Some(self.last_changed_version),
             None => None,
@@ -134,14 +135,58 @@
 
     /// Whether a change of the given version is not applied yet.
     #[must_use]
-    pub fn is_behind(&self, version: u64) -> bool {
+    pub fn is_behind(&self, version: StoreVersion) -> bool {
         self.applied_until.is_none_or(|applied| applied < version)
     }
 
-    fn is_newer_than(&self, version: u64) -> bool {
+    /// Whether the replica has applied changes after the given version.
+    #[must_use]
+    pub fn is_newer_than(&self, version: StoreVersion) -> bool {
         self.applied_until.is_some_and(|applied| applied > version)
     }
 
+    fn is_of_era(&self, era: u64) -> bool {
+        self.applied_until.is_some_and(|applied| applied.era == era)
+    }
+
+    /// Whether the given version belongs to a later era than the replica, so that the store has
+    /// gone back to an older copy in between.
+    #[must_use]
+    pub fn is_of_earlier_era(&self, version: StoreVersion) -> bool {
+        self.applied_until
+            .is_some_and(|applied| applied.era < version.era)
+    }
+
+    /// Keys of the rows that were removed before the store returned from an older copy; `None` if
+    /// `version` does not belong to a later era than the replica.
+    #[must_use]
+    pub fn removed_before_copy(&self, version: StoreVersion) -> Option<BTreeSet<String>> {
+        if !self.is_of_earlier_era(version) {
+            return None;
+        }
+        let removed = self
+            .rows
+            .iter()
+            .filter(|(_, row)| row.state == RowState::Removed);
+        Some(removed.map(|(key, _)| key.clone()).collect())
+    }
+
+    /// Value of a row, if it is present.
+    #[must_use]
+    pub fn value(&self, key: &str) -> Option<Arc<[u8]>> {
+        match &self.rows.get(key)?.state {
+            RowState::Present(value) => Some(Arc::clone(value)),
+            RowState::Removed | RowState::Lapsed => None,
+        }
+    }
+
+    /// Replaces the value of a row that the store is known to have lost, without a new version.
+    pub fn restore_value(&mut self, key: &str, value: Arc<[u8]>) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.state = RowState::Present(value);
+        }
+    }
+
     /// Time since the replica was last known to be up to date.
     #[must_use]
     pub fn age(&self, now: Timestamp) -> Option<Duration> {
@@ -150,9 +195,9 @@
 
     /// Records that `version` was the last change of the table `age` ago.
     ///
-    /// Ignored if the replica is behind that version.
-    pub fn confirm_current(&mut self, now: Timestamp, version: u64, age: Duration) {
-        if self.is_behind(version) {
+    /// Ignored if the replica is behind that version, or in another era.
+    pub fn confirm_current(&mut self, now: Timestamp, version: StoreVersion, age: Duration) {
+        if self.is_behind(version) || !self.is_of_era(version.era) {
             return;
         }
         self.last_changed_version = self.last_changed_version.max(version);
@@ -162,17 +207,23 @@
 
     /// Applies the whole table as returned by the store; returns the rows that changed.
     ///
-    /// Ignored if the replica is newer. `gap` decides whether missing rows were removed or lapsed.
+    /// Ignored if the replica is newer. `gap` decides whether missing rows were removed or lapsed;
+    /// those that an older copy of the store lacks have lapsed.
     pub fn apply_snapshot(
         &mut self,
         now: Timestamp,
-        version: u64,
+        version: StoreVersion,
         mut rows: Vec<StoreRow>,
         gap: StoreGap,
     ) -> Vec<RowChange> {
         if self.is_newer_than(version) {
             return Vec::new();
         }
+        let gap = if self.is_of_earlier_era(version) {
+            StoreGap::Long
+        } else {
+            gap
+        };
         // Rows that were added and removed since the last read are not among the rows.
         self.forgotten_until = self.forgotten_until.max(version);
         let listed: BTreeSet<String> = rows.iter().map(|row| row.key.clone()).collect();
@@ -180,33 +231,47 @@
             if row.is_present() && !listed.contains(key) {
                 rows.push(StoreRow {
                     key: key.clone(),
-                    version,
+                    version: version.number,
                     value: None,
                 });
             }
         }
-        self.apply_changes(now, version, rows, gap)
+        self.apply_rows(now, version, rows, gap)
     }
 
     /// Applies changed rows as returned by the store; returns those that change the replica.
     ///
-    /// Ignored if the replica is newer. `gap` decides whether missing rows were removed or lapsed.
+    /// Ignored if the replica is newer, or of an earlier era: changes of a later one do not tell what
+    /// the store lost. `gap` decides whether missing rows were removed or lapsed.
     pub fn apply_changes(
         &mut self,
         now: Timestamp,
-        version: u64,
+        version: StoreVersion,
         rows: Vec<StoreRow>,
         gap: StoreGap,
     ) -> Vec<RowChange> {
-        if self.is_newer_than(version) {
+        if self.is_newer_than(version) || self.is_of_earlier_era(version) {
             return Vec::new();
         }
+        self.apply_rows(now, version, rows, gap)
+    }
+
+    fn apply_rows(
+        &mut self,
+        now: Timestamp,
+        version: StoreVersion,
+        rows: Vec<StoreRow>,
+        gap: StoreGap,
+    ) -> Vec<RowChange> {
         let missing_state = self.missing_state(&rows, gap);
         let mut changes = Vec::new();
         for row in rows {
             // The store reports a removed row with the version of its last value.
             let (row_version, state) = match row.value {
-                Some(value) => (row.version.min(version), RowState::Present(value)),
+                Some(value) => {
+                    let number = row.version.min(version.number);
+                    (version.with_number(number), RowState::Present(value))
+                }
                 None => (version, missing_state.clone()),
             };
             let change = RowChange {
@@ -272,6 +337,12 @@
         if !fits {
             return None;
         }
+        // Servers that an older copy of the store lacks register again.
+        let missing_state = if self.is_of_earlier_era(delta.version) {
+            RowState::Lapsed
+        } else {
+            RowState::Removed
+        };
         let mut rows = delta.rows.clone();
         if delta.base.is_none() {
             self.forgotten_until = self.forgotten_until.max(delta.version);
@@ -280,7 +351,7 @@
                 if row.is_present() && !listed.contains(key) {
                     rows.push(RowChange {
                         key: key.clone(),
-                        state: RowState::Removed,
+                        state: missing_state.clone(),
                     });
                 }
             }
@@ -295,7 +366,7 @@
         Some(changes)
     }
 
-    fn apply_row(&mut self, version: u64, row: RowChange, changes: &mut Vec<RowChange>) {
+    fn apply_row(&mut self, version: StoreVersion, row: RowChange, changes: &mut Vec<RowChange>) {
         self.last_changed_version = self.last_changed_version.max(version);
         if let Some(old) = self.rows.get_mut(&row.key)
             && old.state == row.state
@@ -321,7 +392,7 @@
     /// Drops the older half of the tombstones if there are too many.
     fn drop_old_tombstones(&mut self) {
         let tombstones = self.rows.values().filter(|row| !row.is_present());
-        let mut versions: Vec<u64> = tombstones.map(|row| row.version).collect();
+        let mut versions: Vec<StoreVersion> = tombstones.map(|row| row.version).collect();
         if versions.len() <= MAX_TOMBSTONES {
             return;
         }
@@ -337,7 +408,7 @@
     /// The delta starts later than `base` if earlier removals are no longer known; a replica that
     /// has not applied all changes up to there rejects it.
     #[must_use]
-    pub fn delta_since(&self, base: Option<u64>) -> Option<FeedDelta> {
+    pub fn delta_since(&self, base: Option<StoreVersion>) -> Option<FeedDelta> {
         let version = self.last_changed_version()?;
         let base = base.map(|base| base.max(self.forgotten_until));
         let mut rows = Vec::new();
--- a/crates/verbenahinge-core/src/gateway/registry.rs
+++ b/crates/verbenahinge-core/src/gateway/registry.rs
@@ -10,6 +10,10 @@
 use super::{REREGISTER_GRACE, ServiceName};
 use crate::{ServerName, Timestamp, ZoneName};
 
+/// Time for which a server is held, in heartbeats. The entry of a server that has left lapses after
+/// three of them, counted from the return of the store.
+const HOLD_HEARTBEATS: u32 = 4;
+
 /// Whether a backend server accepts new requests.
 #[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "snake_case")]
@@ -95,12 +99,27 @@
     Missing,
     /// The entry was removed.
     Removed,
+    /// The entry had been removed, and an older copy of the store lists it again; the server stays
+    /// unused for a while.
+    Held,
 }
 
 #[derive(Clone, Debug)]
 struct Registration {
     entry: ServerEntry,
     reregister_deadline: Option<Timestamp>,
+    /// Time until which the server stays unused, though its entry says that it is ready.
+    held_until: Option<Timestamp>,
+}
+
+impl Registration {
+    const fn new(entry: ServerEntry) -> Self {
+        Self {
+            entry,
+            reregister_deadline: None,
+            held_until: None,
+        }
+    }
 }
 
 /// Registered backend servers by name.
@@ -115,14 +134,11 @@
     pub fn upsert(&mut self, entry: ServerEntry) -> Option<RegistryChange> {
         let id = entry.id.clone();
         let state = entry.state;
-        let registration = Registration {
-            entry,
-            reregister_deadline: None,
-        };
+        let registration = Registration::new(entry);
         let old = self.servers.get(&id);
         let change = match old {
             None => RegistryChange::Added,
-            Some(old) if old.entry == registration.entry => {
+            Some(old) if old.entry == registration.entry && old.held_until.is_none() => {
                 self.servers.insert(id, registration);
                 return None;
             }
@@ -143,6 +159,38 @@
         Some(change)
     }
 
+    /// Inserts or replaces an entry that is read from an older copy of the store, which may have been
+    /// overtaken before; returns the change, or `None` if there is none.
+    ///
+    /// A server that was draining does not become ready again. One that was removed (`was_removed`)
+    /// stays unused until its entry changes, or for long enough that the entry would have lapsed by
+    /// then if the server had left.
+    pub fn restore(
+        &mut self,
+        now: Timestamp,
+        entry: ServerEntry,
+        was_removed: bool,
+        heartbeat: Duration,
+    ) -> Option<RegistryChange> {
+        match self.servers.get_mut(&entry.id) {
+            Some(old)
+                if old.entry.state == ServerState::Draining
+                    && old.entry.started_unix_ms == entry.started_unix_ms =>
+            {
+                old.reregister_deadline = None;
+                None
+            }
+            None if was_removed && entry.state == ServerState::Ready => {
+                let mut registration = Registration::new(entry);
+                registration.held_until = Some(now + heartbeat * HOLD_HEARTBEATS);
+                let id = registration.entry.id.clone();
+                self.servers.insert(id, registration);
+                Some(RegistryChange::Held)
+            }
+            _ => self.upsert(entry),
+        }
+    }
+
     fn remove_from_order(&mut self, id: &str) {
         let Some((id, registration)) = self.servers.get_key_value(id) else {
             return;
@@ -164,15 +212,17 @@
     /// of a draining server is removed at once.
     pub fn mark_missing(&mut self, now: Timestamp, id: &str) -> Option<RegistryChange> {
         let server = self.servers.get_mut(id)?;
-        if server.entry.state == ServerState::Draining {
+        if server.entry.state == ServerState::Draining || server.held_until.is_some() {
             return self.remove(id);
         }
         server.reregister_deadline = Some(now + REREGISTER_GRACE);
         Some(RegistryChange::Missing)
     }
 
-    /// Removes missing entries that were not registered again in time; returns their names.
+    /// Removes missing entries that were not registered again in time, and returns their names;
+    /// servers that were held long enough become ready.
     pub fn expire(&mut self, now: Timestamp) -> Vec<ServerName> {
+        self.release_held(now);
         let mut expired = Vec::new();
         for (id, server) in &self.servers {
             if server
@@ -188,6 +238,18 @@
         expired
     }
 
+    fn release_held(&mut self, now: Timestamp) {
+        let mut released = Vec::new();
+        for server in self.servers.values_mut() {
+            if server.held_until.is_some_and(|until| until <= now) {
+                released.push(server.entry.clone());
+            }
+        }
+        for entry in released {
+            self.upsert(entry);
+        }
+    }
+
     /// Time at which the next missing entry expires.
     #[must_use]
     pub fn next_expiry(&self) -> Option<Timestamp> {
--- a/crates/verbenahinge-core/src/gateway/state.rs
+++ b/crates/verbenahinge-core/src/gateway/state.rs
@@ -115,11 +115,30 @@
     pub fn upsert_server(&mut self, entry: ServerEntry) -> Option<RegistryChange> {
         let id = entry.id.clone();
         let change = self.registry.upsert(entry);
+        self.add_backend(id, change);
+        change
+    }
+
+    fn add_backend(&mut self, id: ServerName, change: Option<RegistryChange>) {
         let backend = self.backends.entry(id.clone()).or_default();
         if change == Some(RegistryChange::Restarted) {
             backend.restart();
         }
         self.names_by_hash.insert(hash64(id.as_bytes()), id);
+    }
+
+    /// Inserts or updates a registry entry that is read from an older copy of the store; see
+    /// [`Registry::restore`].
+    pub fn restore_server(
+        &mut self,
+        now: Timestamp,
+        entry: ServerEntry,
+        was_removed: bool,
+    ) -> Option<RegistryChange> {
+        let id = entry.id.clone();
+        let heartbeat = self.bounds.server_heartbeat;
+        let change = self.registry.restore(now, entry, was_removed, heartbeat);
+        self.add_backend(id, change);
         change
     }
 
--- a/crates/verbenahinge-core/tests/store_outages.rs
+++ b/crates/verbenahinge-core/tests/store_outages.rs
@@ -36,7 +36,7 @@
         });
     }
     let mut replica = TableReplica::default();
-    replica.apply_snapshot(at(0), 1, rows, StoreGap::None);
+    replica.apply_snapshot(at(0), 1.into(), rows, StoreGap::None);
     replica
 }
 
@@ -59,14 +59,14 @@
 fn brief_outage_lapses_nothing() {
     // Guards against a watch that the store cuts, after which a server that left stayed in use.
     assert_eq!(gap_of(1000, 1300, Some(at(4000))), StoreGap::Brief);
-    let changes = replica().apply_changes(at(1300), 2, vec![removed("a")], StoreGap::Brief);
+    let changes = replica().apply_changes(at(1300), 2.into(), vec![removed("a")], StoreGap::Brief);
     assert_eq!(changes, [change("a", RowState::Removed)]);
 }
 
 #[test]
 fn long_outage_lapses_entries() {
     assert_eq!(gap_of(1000, 3500, Some(at(4000))), StoreGap::Long);
-    let changes = replica().apply_changes(at(3500), 2, vec![removed("a")], StoreGap::Long);
+    let changes = replica().apply_changes(at(3500), 2.into(), vec![removed("a")], StoreGap::Long);
     assert_eq!(changes, [change("a", RowState::Lapsed)]);
 }
 
@@ -96,7 +96,7 @@
     // Guards against a VM that learns late of a lapse and keeps the server for another grace period.
     let mut watcher = replica();
     let mut late = watcher.clone();
-    watcher.apply_changes(at(5000), 2, vec![removed("a")], StoreGap::Long);
+    watcher.apply_changes(at(5000), 2.into(), vec![removed("a")], StoreGap::Long);
     watcher.confirm_removed(&["a".into()]);
     let delta = watcher.delta_since(late.applied_until()).expect("delta");
     assert_eq!(
@@ -110,6 +110,6 @@
     // The store was away for longer than this VM saw, since servers don't leave all at once.
     let missing = ["a", "b", "c"];
     let rows = missing.map(removed).to_vec();
-    let changes = replica().apply_changes(at(1300), 2, rows, StoreGap::Brief);
+    let changes = replica().apply_changes(at(1300), 2.into(), rows, StoreGap::Brief);
     assert_eq!(changes, missing.map(|key| change(key, RowState::Lapsed)));
 }
--- a/crates/verbenahinge-core/tests/table_replicas.rs
+++ b/crates/verbenahinge-core/tests/table_replicas.rs
@@ -34,7 +34,12 @@
 /// Replica that has read one row from the store.
 fn replica() -> TableReplica {
     let mut replica = TableReplica::default();
-    replica.apply_snapshot(NOW, 20, vec![row("a", 12, Some("1"))], StoreGap::None);
+    replica.apply_snapshot(
+        NOW,
+        20.into(),
+        vec![row("a", 12, Some("1"))],
+        StoreGap::None,
+    );
     replica
 }
 
@@ -44,7 +49,7 @@
     let mut other = replica();
     let base = watcher.last_changed_version();
     // The store reports a removed row with the version of its last value.
-    let changes = watcher.apply_changes(NOW, 30, vec![row("a", 12, None)], StoreGap::None);
+    let changes = watcher.apply_changes(NOW, 30.into(), vec![row("a", 12, None)], StoreGap::None);
     assert_eq!(changes, [missing("a", RowState::Removed)]);
     let delta = watcher.delta_since(base).expect("delta");
     assert_eq!(
@@ -57,10 +62,15 @@
 fn deltas_include_unseen_removals() {
     // One watcher saw the row added; the other read its addition and removal in one response.
     let mut first = replica();
-    first.apply_changes(NOW, 30, vec![row("b", 28, Some("2"))], StoreGap::None);
+    first.apply_changes(
+        NOW,
+        30.into(),
+        vec![row("b", 28, Some("2"))],
+        StoreGap::None,
+    );
     let mut second = replica();
     let base = second.last_changed_version();
-    second.apply_changes(NOW, 40, vec![row("b", 28, None)], StoreGap::None);
+    second.apply_changes(NOW, 40.into(), vec![row("b", 28, None)], StoreGap::None);
     let delta = second.delta_since(base).expect("delta");
     assert_eq!(
         first.apply_delta(&delta),
@@ -71,9 +81,19 @@
 #[test]
 fn gapped_deltas_are_rejected() {
     let mut watcher = replica();
-    watcher.apply_changes(NOW, 30, vec![row("b", 28, Some("2"))], StoreGap::None);
+    watcher.apply_changes(
+        NOW,
+        30.into(),
+        vec![row("b", 28, Some("2"))],
+        StoreGap::None,
+    );
     let base = watcher.last_changed_version();
-    watcher.apply_changes(NOW, 40, vec![row("c", 35, Some("3"))], StoreGap::None);
+    watcher.apply_changes(
+        NOW,
+        40.into(),
+        vec![row("c", 35, Some("3"))],
+        StoreGap::None,
+    );
     let late = watcher.delta_since(base).expect("delta");
     let mut other = replica();
     assert_eq!(other.apply_delta(&late), None);
@@ -86,26 +106,41 @@
 #[test]
 fn older_responses_are_ignored() {
     let mut replica = replica();
-    replica.apply_changes(NOW, 30, vec![row("a", 28, Some("2"))], StoreGap::None);
-    let stale = replica.apply_snapshot(NOW, 25, vec![row("a", 12, Some("1"))], StoreGap::None);
+    replica.apply_changes(
+        NOW,
+        30.into(),
+        vec![row("a", 28, Some("2"))],
+        StoreGap::None,
+    );
+    let stale = replica.apply_snapshot(
+        NOW,
+        25.into(),
+        vec![row("a", 12, Some("1"))],
+        StoreGap::None,
+    );
     assert!(stale.is_empty());
-    assert_eq!(replica.last_changed_version(), Some(28));
+    assert_eq!(replica.last_changed_version(), Some(28.into()));
 }
 
 #[test]
 fn outage_lapses_missing_rows() {
     let mut replica = replica();
-    let changes = replica.apply_snapshot(NOW, 30, Vec::new(), StoreGap::Long);
+    let changes = replica.apply_snapshot(NOW, 30.into(), Vec::new(), StoreGap::Long);
     assert_eq!(changes, [missing("a", RowState::Lapsed)]);
-    let changes = replica.apply_changes(NOW, 32, vec![row("a", 31, Some("1"))], StoreGap::None);
+    let changes = replica.apply_changes(
+        NOW,
+        32.into(),
+        vec![row("a", 31, Some("1"))],
+        StoreGap::None,
+    );
     assert_eq!(changes, [present("a", "1")]);
 }
 
 #[test]
 fn other_tables_keep_version() {
     let mut watcher = replica();
-    watcher.apply_changes(NOW, 500, Vec::new(), StoreGap::None);
-    assert_eq!(watcher.last_changed_version(), Some(12));
+    watcher.apply_changes(NOW, 500.into(), Vec::new(), StoreGap::None);
+    assert_eq!(watcher.last_changed_version(), Some(12.into()));
     let other = replica();
     assert!(!other.is_behind(watcher.last_changed_version().expect("version")));
 }
@@ -113,7 +148,12 @@
 #[test]
 fn snapshot_delta_replaces_rows() {
     let mut watcher = TableReplica::default();
-    watcher.apply_snapshot(NOW, 50, vec![row("b", 45, Some("2"))], StoreGap::None);
+    watcher.apply_snapshot(
+        NOW,
+        50.into(),
+        vec![row("b", 45, Some("2"))],
+        StoreGap::None,
+    );
     let whole = watcher.delta_since(None).expect("snapshot");
     let mut other = replica();
     let changes = other.apply_delta(&whole).expect("newer snapshot");
@@ -129,10 +169,10 @@
     let keys: Vec<String> = (0..2001).map(|index| format!("s{index:04}")).collect();
     let rows = || keys.iter().map(|key| row(key, 1, Some("1"))).collect();
     let mut watcher = TableReplica::default();
-    watcher.apply_snapshot(NOW, 10, rows(), StoreGap::None);
+    watcher.apply_snapshot(NOW, 10.into(), rows(), StoreGap::None);
     let mut other = watcher.clone();
     let base = watcher.applied_until();
-    watcher.apply_changes(NOW, 20, vec![row(&keys[7], 1, None)], StoreGap::None);
+    watcher.apply_changes(NOW, 20.into(), vec![row(&keys[7], 1, None)], StoreGap::None);
     let delta = watcher.delta_since(base).expect("delta");
     assert_eq!(
         other.apply_delta(&delta),
@@ -150,13 +190,13 @@
         let version = 30 + 2 * index;
         watcher.apply_changes(
             NOW,
-            version,
+            version.into(),
             vec![row(&key, version, Some("1"))],
             StoreGap::None,
         );
         watcher.apply_changes(
             NOW,
-            version + 1,
+            (version + 1).into(),
             vec![row(&key, version, None)],
             StoreGap::None,
         );
@@ -172,13 +212,23 @@
     // Guards against a delta of a VM that started after a removal and never saw the row.
     let mut behind = replica();
     let mut started = TableReplica::default();
-    started.apply_snapshot(NOW, 40, vec![row("b", 35, Some("2"))], StoreGap::None);
+    started.apply_snapshot(
+        NOW,
+        40.into(),
+        vec![row("b", 35, Some("2"))],
+        StoreGap::None,
+    );
     let delta = started.delta_since(behind.applied_until()).expect("delta");
     assert_eq!(behind.apply_delta(&delta), None);
     assert!(behind.is_behind(delta.version));
     // A later change finds the VM that is behind as it was.
-    started.apply_changes(NOW, 50, vec![row("c", 45, Some("3"))], StoreGap::None);
-    let delta = started.delta_since(Some(35)).expect("delta");
+    started.apply_changes(
+        NOW,
+        50.into(),
+        vec![row("c", 45, Some("3"))],
+        StoreGap::None,
+    );
+    let delta = started.delta_since(Some(35.into())).expect("delta");
     assert_eq!(behind.apply_delta(&delta), None);
     let whole = started.delta_since(None).expect("snapshot");
     let changes = behind.apply_delta(&whole).expect("newer snapshot");
@@ -198,9 +248,14 @@
     // another VM saw the state in between.
     let mut watcher = replica();
     let mut other = replica();
-    other.apply_changes(NOW, 30, vec![row("a", 12, None)], StoreGap::None);
-    watcher.apply_changes(NOW, 40, vec![row("a", 38, Some("1"))], StoreGap::None);
-    let delta = watcher.delta_since(Some(30)).expect("delta");
+    other.apply_changes(NOW, 30.into(), vec![row("a", 12, None)], StoreGap::None);
+    watcher.apply_changes(
+        NOW,
+        40.into(),
+        vec![row("a", 38, Some("1"))],
+        StoreGap::None,
+    );
+    let delta = watcher.delta_since(Some(30.into())).expect("delta");
     assert_eq!(other.apply_delta(&delta), Some(vec![present("a", "1")]));
 }
 
--- a/crates/verbenahinge/src/event_log.rs
+++ b/crates/verbenahinge/src/event_log.rs
@@ -35,6 +35,8 @@
     PatchRejected = 202,
     /// A configuration could not be read; the version in force stays.
     ConfigUnreadable = 203,
+    /// A configuration was older than the one in force, which stays.
+    ConfigOutdated = 204,
     /// The platform does not respond.
     PlatformUnavailable = 300,
     /// The platform responds again.
@@ -100,6 +102,7 @@
             | Self::LogLinesDropped
             | Self::AcceptFailed
             | Self::ConfigUnreadable
+            | Self::ConfigOutdated
             | Self::ServerUnreadable
             | Self::ServerCrashed
             | Self::DigestUnreadable
--- a/crates/verbenahinge/src/gateway.rs
+++ b/crates/verbenahinge/src/gateway.rs
@@ -184,6 +184,7 @@
     spawn_task(&gateway, "registry_news", |gateway| {
         watch::catch_up(gateway, Feed::Servers)
     });
+    spawn_task(&gateway, "newer_config", watch::catch_up_config);
     spawn_task(&gateway, "membership", watch::discover_vms);
     spawn_task(&gateway, "digests_in", peers::receive_messages);
     spawn_task(&gateway, "digests_out", peers::send_digests);
--- a/crates/verbenahinge/src/gateway/peer_message.rs
+++ b/crates/verbenahinge/src/gateway/peer_message.rs
@@ -7,7 +7,7 @@
 use strum::IntoStaticStr;
 use verbenahinge_core::gateway::{
     Feed, FeedDelta, LoadReport, PartState, PeerDigest, PeerLoad, PrefillLoad, RowChange, RowState,
-    ServerDigest,
+    ServerDigest, StoreVersion,
 };
 
 /// Purpose of a message to another VM; the metrics use it as a label.
@@ -53,6 +53,10 @@
     /// Addresses of some VMs that the sender knows.
     #[prost(fixed32, repeated, tag = "6")]
     pub(super) addresses: Vec<u32>,
+    /// Version of the configuration in force at the sender, as the operator counts; 0 if the
+    /// message does not tell.
+    #[prost(uint64, tag = "14")]
+    pub(super) config_version: u64,
     /// Number of other VMs that the sender knows.
     #[prost(uint32, tag = "13")]
     pub(super) known_vms: u32,
@@ -81,6 +85,9 @@
     pub(super) feed: u32,
     #[prost(uint64, tag = "2")]
     pub(super) version: u64,
+    /// Era of the store that the version belongs to.
+    #[prost(uint64, tag = "5")]
+    pub(super) era: u64,
     /// Time since the replica was last known to be up to date.
     #[prost(uint32, tag = "3")]
     pub(super) age_ms: u32,
@@ -98,6 +105,12 @@
     pub(super) version: u64,
     #[prost(message, repeated, tag = "3")]
     pub(super) rows: Vec<RowMessage>,
+    /// Era of the store that `base` belongs to.
+    #[prost(uint64, tag = "4")]
+    pub(super) base_era: u64,
+    /// Era of the store that `version` belongs to.
+    #[prost(uint64, tag = "5")]
+    pub(super) era: u64,
 }
 
 /// Change of one row.
@@ -129,9 +142,11 @@
             });
         }
         Self {
-            base: delta.base,
-            version: delta.version,
+            base: delta.base.map(|base| base.number),
+            version: delta.version.number,
             rows,
+            base_era: delta.base.map_or(0, |base| base.era),
+            era: delta.version.era,
         }
     }
 
@@ -149,9 +164,10 @@
                 state,
             });
         }
+        let base_era = self.base_era;
         FeedDelta {
-            base: self.base,
-            version: self.version,
+            base: self.base.map(|number| StoreVersion::new(base_era, number)),
+            version: StoreVersion::new(self.era, self.version),
             rows,
         }
     }
--- a/crates/verbenahinge/src/gateway/peers.rs
+++ b/crates/verbenahinge/src/gateway/peers.rs
@@ -16,7 +16,7 @@
 use verbenahinge_core::gateway::{DIGEST_INTERVAL, Members, PeerDigest, ServerDigest};
 use verbenahinge_platform::node_file::VmSettings;
 
-pub(super) use self::feeds::{encode_feed, fetch_feed, push_change};
+pub(super) use self::feeds::{encode_feed, fetch_delta, fetch_feed, push_change};
 use self::feeds::{feed_versions, handle_feed};
 use self::load::{PendingQuery, handle_query_or_reply, send_to_aggregators};
 pub(super) use self::load::{query_load, send_load};
@@ -32,7 +32,8 @@
     socket: UdpSocket,
     port: u16,
     members: RefCell<Members>,
-    has_started_registration: Cell<bool>,
+    /// Era of the store in which this VM last began to write its address.
+    registered_era: Cell<Option<u64>>,
     last_query_id: Cell<u64>,
     pending_queries: RefCell<BTreeMap<u64, PendingQuery>>,
     slow_until: RefCell<BTreeMap<IpAddr, Timestamp>>,
@@ -49,7 +50,7 @@
             socket,
             port: settings.peer_port,
             members: RefCell::new(Members::new(settings.ip)),
-            has_started_registration: Cell::new(false),
+            registered_era: Cell::new(None),
             last_query_id: Cell::new(0),
             pending_queries: RefCell::default(),
             slow_until: RefCell::default(),
@@ -155,12 +156,20 @@
 /// Creates a message with a digest, the versions of the replicas and the addresses of some VMs.
 fn digest_message(gateway: &Gateway, digest: PeerDigest, addresses: &[IpAddr]) -> PeerMessage {
     let addresses = addresses.iter().filter_map(|&ip| pack_ip(ip)).collect();
-    PeerMessage::new(digest, feed_versions(gateway), addresses)
+    let mut message = PeerMessage::new(digest, feed_versions(gateway), addresses);
+    message.config_version = gateway.state.borrow().config_version();
+    message
 }
 
-/// Writes the address of this VM to the store, once, after it has read a table as a watcher.
-pub(super) fn register_once(gateway: &Rc<Gateway>) {
-    if !gateway.peers.has_started_registration.replace(true) {
+/// Writes the address of this VM to the store, once for each era, after it has read a table as a
+/// watcher: a store that has returned from an older copy may have lost it.
+pub(super) fn register_in_era(gateway: &Rc<Gateway>, era: u64) {
+    let registered_era = &gateway.peers.registered_era;
+    if registered_era
+        .get()
+        .is_none_or(|registered| registered < era)
+    {
+        registered_era.set(Some(era));
         actix_rt::spawn(watch::register_address(Rc::clone(gateway)));
     }
 }
@@ -213,6 +222,11 @@
     for feed in std::mem::take(&mut message.feeds) {
         handle_feed(gateway, from, feed);
     }
+    if message.config_version > gateway.state.borrow().config_version() {
+        gateway
+            .replicas
+            .note_newer_config(from, message.config_version);
+    }
     if message.query_id > 0 {
         handle_query_or_reply(gateway, from, &mut message);
     }
--- a/crates/verbenahinge/src/gateway/peers/feeds.rs
+++ b/crates/verbenahinge/src/gateway/peers/feeds.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt::TokioIo;
 use prost::Message as _;
 use strum::IntoEnumIterator;
-use verbenahinge_core::gateway::Feed;
+use verbenahinge_core::gateway::{Feed, FeedDelta, StoreVersion};
 
 use super::send_to;
 use crate::event_log::LogEvent;
@@ -43,7 +43,8 @@
         };
         feeds.push(FeedMessage {
             feed: feed_number(feed),
-            version,
+            version: version.number,
+            era: version.era,
             age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
             delta: None,
         });
@@ -52,7 +53,11 @@
 }
 
 /// Sends the new version of a changed table to all known VMs, with the delta if it is small.
-pub(in crate::gateway) fn push_change(gateway: &Rc<Gateway>, feed: Feed, base: Option<u64>) {
+pub(in crate::gateway) fn push_change(
+    gateway: &Rc<Gateway>,
+    feed: Feed,
+    base: Option<StoreVersion>,
+) {
     let mut feeds = feed_versions(gateway);
     let delta = base.and_then(|base| {
         gateway
@@ -86,7 +91,7 @@
         return;
     };
     let now = gateway.now();
-    let version = message.version;
+    let version = StoreVersion::new(message.era, message.version);
     if let Some(delta) = message.delta {
         watch::apply_peer_delta(gateway, from, feed, &delta.into_delta());
     }
@@ -108,20 +113,34 @@
     gateway: &Gateway,
     from: IpAddr,
     feed: Feed,
-    since: Option<u64>,
+    since: Option<StoreVersion>,
 ) {
-    let control_listen = gateway.settings.borrow().control_listen;
-    let Some(control_listen) = control_listen else {
-        return;
-    };
+    if let Some(delta) = fetch_delta(gateway, from, feed, since).await {
+        watch::apply_peer_delta(gateway, from, feed, &delta);
+    }
+}
+
+/// Fetches the changes of a table since a version, or the whole table, from another VM.
+pub(in crate::gateway) async fn fetch_delta(
+    gateway: &Gateway,
+    from: IpAddr,
+    feed: Feed,
+    since: Option<StoreVersion>,
+) -> Option<FeedDelta> {
+    let control_listen = gateway.settings.borrow().control_listen?;
     let address = SocketAddr::from((from, control_listen.port()));
     let number = feed_number(feed);
-    let path = format!("{FEED_PATH}/{number}/{}", since.unwrap_or(0));
+    let path = match since {
+        None => format!("{FEED_PATH}/{number}/0"),
+        Some(StoreVersion {
+            era: 0,
+            number: since,
+        }) => format!("{FEED_PATH}/{number}/{since}"),
+        Some(since) => format!("{FEED_PATH}/{number}/{since}"),
+    };
     match actix_rt::time::timeout(FETCH_TIMEOUT, http_get(address, &path)).await {
         Ok(Ok(bytes)) => match DeltaMessage::decode(bytes) {
-            Ok(message) => {
-                watch::apply_peer_delta(gateway, from, feed, &message.into_delta());
-            }
+            Ok(message) => return Some(message.into_delta()),
             Err(error) => {
                 LogEvent::DigestUnreadable.log(&[("address", &address), ("cause", &error)]);
             }
@@ -129,15 +148,17 @@
         Ok(Err(error)) => log::debug!("failed to fetch table {number} from {address}: {error}"),
         Err(_) => log::debug!("timed out fetching table {number} from {address}"),
     }
+    None
 }
 
-/// Encodes the changes of a table for another VM; the path is `/TABLE/VERSION`, and version 0
-/// requests the whole table.
+/// Encodes the changes of a table for another VM; the path is `/TABLE/ERA.VERSION`, or
+/// `/TABLE/VERSION` if the store names no era, and version 0 requests the whole table.
 pub(in crate::gateway) fn encode_feed(gateway: &Gateway, path: &str) -> Option<Bytes> {
     let (number, since) = path.strip_prefix('/')?.split_once('/')?;
     let feed = feed_from_number(number.parse().ok()?)?;
-    let since: u64 = since.parse().ok()?;
-    let base = (since > 0).then_some(since);
+    let (era, since) = since.split_once('.').unwrap_or(("0", since));
+    let since = StoreVersion::new(era.parse().ok()?, since.parse().ok()?);
+    let base = (since.number > 0).then_some(since);
     let delta = gateway
         .replicas
         .with(feed, |replica| replica.delta_since(base))?;
--- a/crates/verbenahinge/src/gateway/watch.rs
+++ b/crates/verbenahinge/src/gateway/watch.rs
@@ -8,11 +8,15 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use strum::IntoEnumIterator;
 use tokio::sync::Notify;
-use verbenahinge_core::gateway::{Feed, StoreGap, TableReplica, watch_timeout, watches_store};
+use verbenahinge_core::ConfigVersion;
+use verbenahinge_core::gateway::{
+    Feed, StoreGap, StoreVersion, TableReplica, watch_timeout, watches_store,
+};
 use verbenahinge_core::hash::jitter;
 use verbenahinge_platform::store::{
     OPERATOR_TABLE, Rows, SERVER_TABLE, StoreClient, StoreError, VM_TABLE,
@@ -20,7 +24,7 @@
 
 use self::response_log::ResponseLog;
 pub(super) use self::row_changes::apply_peer_delta;
-use self::row_changes::apply_store_rows;
+use self::row_changes::{apply_newer_config, apply_store_rows};
 use self::store_health::StoreHealth;
 use super::{Gateway, peers};
 
@@ -30,6 +34,10 @@
 /// Minimum time to wait for a change to arrive by datagram before this VM fetches it.
 const PUSH_WAIT: Duration = Duration::from_millis(120);
 
+/// Minimum time to wait for a configuration to arrive as a change of its table before this VM
+/// fetches it from another one: twice [`PUSH_WAIT`], after which the table itself is fetched.
+const CONFIG_FETCH_DELAY: Duration = Duration::from_millis(240);
+
 /// Time after the start in which a VM that already has a replica should discover other VMs before
 /// it watches the store. It has no effect at present, since it is compared with the time since the
 /// Unix epoch.
@@ -40,6 +48,10 @@
 /// should have heard from another one by the first check.
 const ISOLATION_CHECK_INTERVAL: Duration = Duration::from_millis(600);
 
+/// Pause after a response that was older than the replica: the store's rate limit leaves a VM of a
+/// fleet of hundreds a few calls per second.
+const IGNORED_RESPONSE_PAUSE: Duration = Duration::from_millis(500);
+
 /// Pause after a lookup of other VMs in the store.
 const LOOKUP_PAUSE: Duration = Duration::from_secs(3);
 
@@ -47,7 +59,14 @@
 #[derive(Clone, Copy, Debug)]
 struct NewerVersion {
     source: IpAddr,
-    version: u64,
+    version: StoreVersion,
+}
+
+/// Configuration of another VM that is newer than the one in force, by the operator's count.
+#[derive(Clone, Copy, Debug)]
+struct NewerConfig {
+    source: IpAddr,
+    version: ConfigVersion,
 }
 
 /// Replicas of all tables.
@@ -56,6 +75,10 @@
     newer_versions: RefCell<BTreeMap<Feed, NewerVersion>>,
     newer_version_notify: Notify,
     unreadable_servers: RefCell<BTreeSet<String>>,
+    /// Value of the configuration in force, as it was read.
+    config_in_force: RefCell<Option<Arc<[u8]>>>,
+    newer_config: RefCell<Option<NewerConfig>>,
+    newer_config_notify: Notify,
 }
 
 impl Replicas {
@@ -66,6 +89,9 @@
             newer_versions: RefCell::default(),
             newer_version_notify: Notify::new(),
             unreadable_servers: RefCell::default(),
+            config_in_force: RefCell::default(),
+            newer_config: RefCell::default(),
+            newer_config_notify: Notify::new(),
         }
     }
 
@@ -76,13 +102,31 @@
     }
 
     /// Records that the replica of another VM is newer, and wakes the catch-up task.
-    pub(crate) fn note_newer_version(&self, feed: Feed, source: IpAddr, version: u64) {
+    pub(crate) fn note_newer_version(&self, feed: Feed, source: IpAddr, version: StoreVersion) {
         self.newer_versions
             .borrow_mut()
             .insert(feed, NewerVersion { source, version });
         self.newer_version_notify.notify_waiters();
     }
 
+    /// Records that another VM has a newer configuration in force, and wakes the task that fetches
+    /// it.
+    pub(crate) fn note_newer_config(&self, source: IpAddr, version: ConfigVersion) {
+        self.newer_config
+            .replace(Some(NewerConfig { source, version }));
+        self.newer_config_notify.notify_waiters();
+    }
+
+    /// Version from which changes are fetched from a VM with a newer replica; `None` for the whole
+    /// table, if there is no replica or the other one belongs to a later era.
+    fn base_for_fetch(&self, feed: Feed) -> Option<StoreVersion> {
+        let newer = self.newer_versions.borrow().get(&feed).copied();
+        self.with(feed, |replica| {
+            let has_later_era = newer.is_some_and(|newer| replica.is_of_earlier_era(newer.version));
+            replica.applied_until().filter(|_| !has_later_era)
+        })
+    }
+
     /// Returns a VM whose replica is newer, and forgets a recorded version that has been applied.
     fn newer_source(&self, feed: Feed) -> Option<IpAddr> {
         let newer = self.newer_versions.borrow().get(&feed).copied()?;
@@ -125,9 +169,13 @@
                 let heartbeat = gateway.settings.borrow().bounds.server_heartbeat;
                 let gap = health.record_success(now, age, heartbeat);
                 needs_snapshot = false;
-                response_log.record_rows(&gateway, feed, &rows);
+                let era = rows.era;
+                let is_ignored = response_log.record_rows(&gateway, feed, &rows);
                 apply_store_rows(&gateway, feed, rows, is_snapshot, gap);
-                peers::register_once(&gateway);
+                peers::register_in_era(&gateway, era);
+                if is_ignored {
+                    actix_rt::time::sleep(IGNORED_RESPONSE_PAUSE).await;
+                }
             }
             Err(StoreError::VersionTooOld) => {
                 needs_snapshot = true;
@@ -153,8 +201,12 @@
         .with(feed, |replica| replica.applied_until());
     match since {
         Some(version) if !needs_snapshot => {
-            let rows = store.watch_table(table, version, timeout).await?;
-            Ok((rows, false))
+            let rows = store.watch_table(table, version.number, timeout).await?;
+            if rows.era == version.era {
+                return Ok((rows, false));
+            }
+            // The store has given out the version again, so the changes after it lack those before.
+            Ok((store.read_table(table).await?, true))
         }
         _ => Ok((store.read_table(table).await?, true)),
     }
@@ -172,9 +224,7 @@
         let Some(source) = gateway.replicas.newer_source(feed) else {
             continue;
         };
-        let since = gateway
-            .replicas
-            .with(feed, |replica| replica.applied_until());
+        let since = gateway.replicas.base_for_fetch(feed);
         peers::fetch_feed(&gateway, source, feed, since).await;
         if gateway.replicas.newer_source(feed).is_none() {
             continue;
@@ -195,6 +245,35 @@
     }
 }
 
+/// Fetches a configuration that another VM has in force and that this VM's replica lacks though its
+/// version is the same: the store lost it when it returned from an older copy.
+pub(super) async fn catch_up_config(gateway: Rc<Gateway>) {
+    loop {
+        let notified = gateway.replicas.newer_config_notify.notified();
+        if newer_config(&gateway).is_none() {
+            notified.await;
+        }
+        // A change of the table itself arrives by then.
+        actix_rt::time::sleep(CONFIG_FETCH_DELAY + jitter(rand::random(), CONFIG_FETCH_DELAY))
+            .await;
+        let Some(newer) = newer_config(&gateway) else {
+            continue;
+        };
+        let delta = peers::fetch_delta(&gateway, newer.source, Feed::Config, None).await;
+        match delta {
+            Some(delta) => apply_newer_config(&gateway, newer.source, &delta),
+            None => log::debug!("failed to fetch the configuration of {}", newer.source),
+        }
+        // If the fetch failed, a later digest names the version again.
+        gateway.replicas.newer_config.replace(None);
+    }
+}
+
+fn newer_config(gateway: &Gateway) -> Option<NewerConfig> {
+    let newer = (*gateway.replicas.newer_config.borrow())?;
+    (newer.version > gateway.state.borrow().config_version()).then_some(newer)
+}
+
 /// Whether this VM watches the store itself for a table.
 fn is_watcher(gateway: &Gateway, feed: Feed) -> bool {
     let now = gateway.now();
@@ -240,7 +319,10 @@
         (settings.store, settings.ip)
     };
     let mut store = StoreClient::new(address);
-    if let Err(error) = store.put(VM_TABLE, &ip.to_string(), b"1").await {
+    let mut jitter_seed = rand::random();
+    while let Err(error) = store.put(VM_TABLE, &ip.to_string(), b"1").await {
         log::debug!("failed to write the address of this VM to the store: {error}");
+        actix_rt::time::sleep(LOOKUP_PAUSE + jitter(jitter_seed, LOOKUP_PAUSE)).await;
+        jitter_seed = jitter_seed.wrapping_add(1);
     }
 }
--- a/crates/verbenahinge/src/gateway/watch/response_log.rs
+++ b/crates/verbenahinge/src/gateway/watch/response_log.rs
@@ -1,6 +1,6 @@
 //! Log lines for responses of the store that don't continue the versions of a replica.
 
-use verbenahinge_core::gateway::Feed;
+use verbenahinge_core::gateway::{Feed, StoreVersion};
 use verbenahinge_platform::store::Rows;
 
 use crate::event_log::LogEvent;
@@ -24,11 +24,13 @@
         }
     }
 
-    /// Logs a change of the store's era, and rows that are older than the replica.
-    pub(super) fn record_rows(&mut self, gateway: &Gateway, feed: Feed, rows: &Rows) {
-        let applied = gateway
-            .replicas
-            .with(feed, |replica| replica.applied_until());
+    /// Logs a change of the store's era, and rows that are older than the replica; returns whether
+    /// they are older.
+    pub(super) fn record_rows(&mut self, gateway: &Gateway, feed: Feed, rows: &Rows) -> bool {
+        let version = StoreVersion::new(rows.era, rows.version);
+        let (applied, is_older) = gateway.replicas.with(feed, |replica| {
+            (replica.applied_until(), replica.is_newer_than(version))
+        });
         let applied_text = applied.map_or_else(|| "-".to_owned(), |version| version.to_string());
         let old_era = self.era.replace(rows.era);
         if let Some(old_era) = old_era.filter(|&old_era| old_era != rows.era) {
@@ -40,7 +42,6 @@
                 ("replica_version", &applied_text),
             ]);
         }
-        let is_older = applied.is_some_and(|applied| rows.version < applied);
         if is_older && !self.is_ignored_logged {
             LogEvent::StoreResponseIgnored.log(&[
                 ("table", &self.table),
@@ -51,6 +52,7 @@
         }
         self.is_ignored_logged = is_older;
         self.is_unknown_logged &= is_older;
+        is_older
     }
 
     /// Logs that the store does not have the version of the replica.
--- a/crates/verbenahinge/src/gateway/watch/row_changes.rs
+++ b/crates/verbenahinge/src/gateway/watch/row_changes.rs
@@ -1,12 +1,15 @@
 //! Changes of the replicas' rows, and what follows from them: configurations that come into force,
 //! servers that come and go, and messages to other VMs.
 
+use std::collections::BTreeSet;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use verbenahinge_core::gateway::{Feed, FeedDelta, RowChange, RowState, StoreGap, StoreRow};
+use verbenahinge_core::gateway::{
+    Feed, FeedDelta, RowChange, RowState, StoreGap, StoreRow, StoreVersion,
+};
 use verbenahinge_platform::store::{CONFIG_KEY, Rows};
 use verbenahinge_platform::{registry, routing};
 
@@ -19,7 +22,7 @@
     /// VM that sent the change; `None` if it was read from the store.
     peer: Option<IpAddr>,
     /// Version of the replica after the change.
-    version: u64,
+    version: StoreVersion,
     /// Age of the replica before the change, which is the maximum age of the change.
     age: Option<Duration>,
 }
@@ -52,9 +55,14 @@
     gap: StoreGap,
 ) {
     let now = gateway.now();
-    let version = rows.version;
-    let (base, age) = gateway.replicas.with(feed, |replica| {
-        (replica.last_changed_version(), replica.age(now))
+    let version = StoreVersion::new(rows.era, rows.version);
+    let (base, age, removed_before) = gateway.replicas.with(feed, |replica| {
+        let removed_before = replica.removed_before_copy(version);
+        (
+            replica.last_changed_version(),
+            replica.age(now),
+            removed_before,
+        )
     });
     let mut store_rows = Vec::new();
     for row in rows.rows {
@@ -76,7 +84,7 @@
         version,
         age,
     };
-    apply_row_changes(gateway, feed, &changes, origin);
+    apply_row_changes(gateway, feed, &changes, origin, removed_before.as_ref());
     if !changes.is_empty() {
         peers::push_change(gateway, feed, base);
     }
@@ -90,8 +98,9 @@
     delta: &FeedDelta,
 ) {
     let now = gateway.now();
-    let (age, changes) = gateway.replicas.with(feed, |replica| {
-        (replica.age(now), replica.apply_delta(delta))
+    let (age, removed_before, changes) = gateway.replicas.with(feed, |replica| {
+        let removed_before = replica.removed_before_copy(delta.version);
+        (replica.age(now), removed_before, replica.apply_delta(delta))
     });
     if let Some(changes) = changes {
         let origin = ChangeOrigin {
@@ -99,15 +108,23 @@
             version: delta.version,
             age,
         };
-        apply_row_changes(gateway, feed, &changes, origin);
+        apply_row_changes(gateway, feed, &changes, origin, removed_before.as_ref());
     }
 }
 
-fn apply_row_changes(gateway: &Gateway, feed: Feed, changes: &[RowChange], origin: ChangeOrigin) {
+/// Applies changes of a replica; `removed_before` holds the rows that had been removed before the
+/// store returned from an older copy, if the changes lead from one era to another.
+fn apply_row_changes(
+    gateway: &Gateway,
+    feed: Feed,
+    changes: &[RowChange],
+    origin: ChangeOrigin,
+    removed_before: Option<&BTreeSet<String>>,
+) {
     for row in changes {
         match feed {
             Feed::Config => apply_config(gateway, row, origin),
-            Feed::Servers => apply_server(gateway, row, origin),
+            Feed::Servers => apply_server(gateway, row, origin, removed_before),
         }
     }
     if feed == Feed::Servers {
@@ -123,15 +140,62 @@
     match routing::decode(value) {
         Ok(routing) => {
             let version = routing.version;
+            let in_force = gateway.state.borrow().config_version();
             if gateway.state.borrow_mut().adopt_routing(routing) {
+                gateway
+                    .replicas
+                    .config_in_force
+                    .replace(Some(value.clone()));
                 LogEvent::ConfigInForce.log(&[("version", &version), ("source", &source)]);
+            } else if version < in_force {
+                LogEvent::ConfigOutdated.log(&[
+                    ("version", &version),
+                    ("in_force", &in_force),
+                    ("source", &source),
+                ]);
+                restore_config(gateway);
             }
         }
-        Err(error) => LogEvent::ConfigUnreadable.log(&[("source", &source), ("cause", &error)]),
+        Err(error) => {
+            LogEvent::ConfigUnreadable.log(&[("source", &source), ("cause", &error)]);
+            restore_config(gateway);
+        }
     }
 }
 
-fn apply_server(gateway: &Gateway, row: &RowChange, origin: ChangeOrigin) {
+/// Puts the configuration in force back into the replica, so that other VMs get it from this one.
+fn restore_config(gateway: &Gateway) {
+    let in_force = gateway.replicas.config_in_force.borrow().clone();
+    if let Some(value) = in_force {
+        gateway.replicas.with(Feed::Config, |replica| {
+            replica.restore_value(CONFIG_KEY, value)
+        });
+    }
+}
+
+/// Brings the configuration of another VM into force if it is newer, though the store may not have
+/// it any more.
+pub(super) fn apply_newer_config(gateway: &Gateway, from: IpAddr, delta: &FeedDelta) {
+    let age = gateway
+        .replicas
+        .with(Feed::Config, |replica| replica.age(gateway.now()));
+    let origin = ChangeOrigin {
+        peer: Some(from),
+        version: delta.version,
+        age,
+    };
+    for row in &delta.rows {
+        apply_config(gateway, row, origin);
+    }
+    restore_config(gateway);
+}
+
+fn apply_server(
+    gateway: &Gateway,
+    row: &RowChange,
+    origin: ChangeOrigin,
+    removed_before: Option<&BTreeSet<String>>,
+) {
     let now = gateway.now();
     let mut state = gateway.state.borrow_mut();
     let mut unreadable_servers = gateway.replicas.unreadable_servers.borrow_mut();
@@ -142,7 +206,10 @@
         RowState::Present(value) => match registry::decode(id, value) {
             Ok(entry) => {
                 unreadable_servers.remove(id);
-                state.upsert_server(entry)
+                match removed_before {
+                    Some(removed) => state.restore_server(now, entry, removed.contains(id)),
+                    None => state.upsert_server(entry),
+                }
             }
             Err(error) => {
                 if unreadable_servers.insert(id.to_owned()) {
@@ -165,7 +232,8 @@
         ("address", &address),
         ("source", &origin.source()),
         ("peer", &origin.peer_text()),
-        ("table_version", &origin.version),
+        ("table_version", &origin.version.number),
+        ("era", &origin.version.era),
         ("age_ms", &origin.age_text()),
     ]);
 }
