--- a/crates/verbenahinge-core/tests/table_replicas.rs
+++ b/crates/verbenahinge-core/tests/table_replicas.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use verbenahinge_core::gateway::{
-    RowChange, RowState, StoreGap, StoreRow, TableReplica, watches_store,
+    RowChange, RowState, StoreGap, StoreRow, StoreVersion, TableReplica, watches_store,
 };
 
 fn row(key: &str, version: u64, value: Option<&str>) -> StoreRow {
@@ -278,3 +278,56 @@
     let fresh = Some(Duration::from_millis(10));
     assert!((0..9).all(|rank| watches_store(rank, 9, fresh)));
 }
+
+/// Replica that has read a table of the second era, whose versions were given out before.
+fn replica_after_rollback() -> TableReplica {
+    let mut replica = replica();
+    let rows = vec![row("b", 5, Some("2"))];
+    replica.apply_snapshot(NOW, StoreVersion::new(1, 9), rows, StoreGap::None);
+    replica
+}
+
+#[test]
+fn later_eras_replace_higher_versions() {
+    let mut replica = replica();
+    let rows = vec![row("b", 5, Some("2"))];
+    let changes = replica.apply_snapshot(NOW, StoreVersion::new(1, 9), rows, StoreGap::None);
+    assert_eq!(changes, [present("b", "2"), missing("a", RowState::Lapsed)]);
+    let late = replica.apply_snapshot(NOW, 25.into(), vec![row("a", 24, None)], StoreGap::None);
+    assert_eq!(late, []);
+    assert_eq!(replica.applied_until(), Some(StoreVersion::new(1, 9)));
+}
+
+#[test]
+fn changes_never_span_eras() {
+    let mut replica = replica();
+    let rows = vec![row("b", 30, Some("2"))];
+    let changes = replica.apply_changes(NOW, StoreVersion::new(1, 30), rows, StoreGap::None);
+    assert_eq!(changes, []);
+    assert_eq!(replica.applied_until(), Some(20.into()));
+}
+
+#[test]
+fn deltas_never_span_eras() {
+    let mut behind = replica();
+    let ahead = replica_after_rollback();
+    let delta = ahead.delta_since(behind.applied_until()).expect("delta");
+    assert_eq!(behind.apply_delta(&delta), None);
+    assert!(behind.is_behind(delta.version));
+    let whole = ahead.delta_since(None).expect("snapshot");
+    assert_eq!(
+        behind.apply_delta(&whole),
+        Some(vec![present("b", "2"), missing("a", RowState::Lapsed)])
+    );
+    // A VM that has not heard of the later era has nothing to offer.
+    let old = replica().delta_since(None).expect("snapshot");
+    assert_eq!(behind.apply_delta(&old), None);
+}
+
+#[test]
+fn other_eras_confirm_nothing() {
+    let mut replica = replica_after_rollback();
+    let later = NOW + Duration::from_secs(5);
+    replica.confirm_current(later, 20.into(), Duration::ZERO);
+    assert_eq!(replica.age(later), Some(Duration::from_secs(5)));
+}
--- a/crates/verbenahinge/src/gateway/watch/row_changes.rs
+++ b/crates/verbenahinge/src/gateway/watch/row_changes.rs
@@ -168,7 +168,7 @@
     let in_force = gateway.replicas.config_in_force.borrow().clone();
     if let Some(value) = in_force {
         gateway.replicas.with(Feed::Config, |replica| {
-            replica.restore_value(CONFIG_KEY, value)
+            replica.restore_value(CONFIG_KEY, value);
         });
     }
 }
--- a/crates/verbenahinge/tests/fault_soak.rs
+++ b/crates/verbenahinge/tests/fault_soak.rs
@@ -13,7 +13,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
 use verbenahinge_core::gateway::REREGISTER_GRACE;
@@ -29,6 +29,9 @@
 
 const CALLER_COUNT: u64 = 6;
 
+/// Distinguishes the random numbers of faults that were added later.
+const EXTRA_FAULTS: u64 = 0x6572_6173;
+
 /// Number of faults per seed. They begin one after the other and overlap.
 const FAULT_COUNT: u64 = 16;
 
@@ -42,6 +45,8 @@
 async fn run_seed(seed: u64) -> Vec<String> {
     let mut soak = SoakFleet::start().await;
     let rng = SeededRng::new(seed);
+    // Faults that were added later draw from numbers of their own, so that earlier seeds keep theirs.
+    let extra_rng = SeededRng::new(seed ^ EXTRA_FAULTS);
     let normal = ServerFaults {
         work_ms: 5 + rng.below(20),
         events: STREAM_EVENTS,
@@ -69,6 +74,9 @@
     let mut fault_log = Vec::new();
     for _ in 0..FAULT_COUNT {
         fault_log.push(soak.inject_fault(&rng).await);
+        if extra_rng.below(4) == 0 {
+            fault_log.push(soak.roll_back_store(&extra_rng).await);
+        }
         actix_rt::time::sleep(Duration::from_millis(50 + rng.below(500))).await;
         soak.clear_faults(&rng, false).await;
     }
@@ -76,6 +84,7 @@
     is_finished.set(true);
     join_all(callers).await;
     let mut violations = wait_for_recovery(&mut soak, seed).await;
+    violations.extend(check_config(&soak).await);
     violations.extend(check_departure(&mut soak, rng.index(SERVER_COUNT)).await);
     // Requests that were forwarded before their caller disconnected may still be running.
     actix_rt::time::sleep(Duration::from_millis(500)).await;
@@ -133,6 +142,31 @@
     violations
 }
 
+/// Waits until the configuration that was last written is in force on every VM, and returns a
+/// violation for each that has an older one.
+async fn check_config(soak: &SoakFleet) -> Vec<String> {
+    let in_force = format!("name=config_in_force version={} ", soak.config_version());
+    let mut violations = Vec::new();
+    for vm in 0..usize::from(VM_COUNT) {
+        let started = Instant::now();
+        loop {
+            let log = soak.fleet.read_log(vm);
+            let last = log
+                .lines()
+                .rfind(|line| line.contains("name=config_in_force"));
+            if last.is_some_and(|line| line.contains(&in_force)) {
+                break;
+            }
+            if started.elapsed() > RECOVERY_TIMEOUT {
+                violations.push(format!("VM {vm} lacks {in_force}: {last:?}"));
+                break;
+            }
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    violations
+}
+
 /// Removes the entry of a server that never drained, and returns a violation for each VM that
 /// counts it as lapsed, though the store is available.
 async fn check_departure(soak: &mut SoakFleet, server: usize) -> Vec<String> {
--- a/crates/verbenahinge/tests/fault_soak/fleet.rs
+++ b/crates/verbenahinge/tests/fault_soak/fleet.rs
@@ -23,6 +23,8 @@
     server_proxies: Vec<Proxy>,
     store_proxy: Proxy,
     config_version: u64,
+    /// Entry of each server as it was last written.
+    entries: Vec<ServerEntry>,
 }
 
 impl SoakFleet {
@@ -32,12 +34,14 @@
             .servers(SERVER_COUNT);
         let mut fleet = GatewayFleet::start(BIN, options).await;
         let mut server_proxies = Vec::new();
+        let mut entries = Vec::new();
         for server in 0..SERVER_COUNT {
             let mut entry = fleet.server_entry(server);
             let proxy = Proxy::start(entry.address).await;
             entry.address = proxy.address();
             fleet.register(&entry).await;
             server_proxies.push(proxy);
+            entries.push(entry);
         }
         let store_proxy = Proxy::start(fleet.store_address()).await;
         fleet.add_vm_with_store(store_proxy.address());
@@ -47,6 +51,7 @@
             server_proxies,
             store_proxy,
             config_version: 7,
+            entries,
         }
     }
 
@@ -121,27 +126,44 @@
                 format!("shutdown of VM {vm}")
             }
             9 => {
-                let mut entry = self.proxied_entry(server);
-                entry.state = ServerState::Draining;
+                self.entries[server].state = ServerState::Draining;
                 self.fleet.set_store_faults(&StoreFaults::default()).await;
-                self.fleet.register(&entry).await;
+                self.fleet.register(&self.entries[server]).await;
                 format!("drain of server {server}")
             }
             _ => {
                 self.config_version += 1;
-                let version = format!("\"version\": {}", self.config_version);
-                let config = CONFIG.replace("\"version\": 7", &version);
                 self.fleet.set_store_faults(&StoreFaults::default()).await;
-                self.fleet.write_config(&config).await;
+                self.write_config().await;
                 format!("configuration {}", self.config_version)
             }
         }
     }
 
-    fn proxied_entry(&self, server: usize) -> ServerEntry {
-        let mut entry = self.fleet.server_entry(server);
-        entry.address = self.server_proxies[server].address();
-        entry
+    async fn write_config(&self) {
+        let version = format!("\"version\": {}", self.config_version);
+        let config = CONFIG.replace("\"version\": 7", &version);
+        self.fleet.write_config(&config).await;
+    }
+
+    /// Restores the store from a copy of a few versions before; the operator and the servers write
+    /// again what they had written.
+    pub(crate) async fn roll_back_store(&self, rng: &SeededRng) -> String {
+        let newest = self.fleet.store_version().await;
+        let copy = newest.saturating_sub(1 + rng.below(8)).max(1);
+        self.fleet.roll_back_store(copy).await;
+        self.fleet.set_store_faults(&StoreFaults::default()).await;
+        actix_rt::time::sleep(Duration::from_millis(rng.below(200))).await;
+        self.write_config().await;
+        for entry in &self.entries {
+            self.fleet.register(entry).await;
+        }
+        format!("return of the store from version {newest} to its copy of {copy}")
+    }
+
+    /// Version of the configuration that was last written.
+    pub(crate) const fn config_version(&self) -> u64 {
+        self.config_version
     }
 
     /// Clears a random part of the faults, or all, and restarts VMs that have exited.
@@ -163,8 +185,13 @@
         if all || rng.below(3) == 0 {
             self.store_proxy.set_fault(LinkFault::None);
             self.fleet.set_store_faults(&StoreFaults::default()).await;
-            for server in 0..SERVER_COUNT {
-                self.fleet.register(&self.proxied_entry(server)).await;
+            for entry in &mut self.entries {
+                if entry.state == ServerState::Draining {
+                    // A server that drained has ended, and this is its next start.
+                    entry.state = ServerState::Ready;
+                    entry.started_unix_ms = entry.started_unix_ms.map(|started| started + 1);
+                }
+                self.fleet.register(entry).await;
             }
         }
         if all {
