test: crash records that don't reach other VMs, or don't outlive them (red)

After a restart of all VMs the request is sent on; a VM that knows of one crash retries after the next one.

--- /dev/null
+++ b/crates/verbenahinge/tests/crashing_request.rs
@@ -0,0 +1,110 @@
+//! A request that crashes the servers which run it, sent again through all VMs.
+
+use std::time::{Duration, Instant};
+
+use verbenahinge_emulator::scripted_server::ServerFault;
+use verbenahinge_testkit::{GatewayFleet, GatewayFleetOptions, GatewayRequest};
+
+const BIN: &str = env!("CARGO_BIN_EXE_verbenahinge");
+const CONFIG: &str = include_str!("data/gateway.json");
+
+/// Timeout for a record to be written to the store.
+const RECORD_TIMEOUT: Duration = Duration::from_secs(10);
+
+async fn start(vms: u8, servers: usize) -> GatewayFleet {
+    let options = GatewayFleetOptions::new(CONFIG).vms(vms).servers(servers);
+    let fleet = GatewayFleet::start(BIN, options).await;
+    for server in 0..servers {
+        crash_on_request(&fleet, server).await;
+    }
+    fleet
+}
+
+async fn crash_on_request(fleet: &GatewayFleet, server: usize) {
+    fleet.set_server_fault(server, ServerFault::Crash, 0).await;
+}
+
+fn crashing(id: &str) -> GatewayRequest {
+    GatewayRequest::new(id, "/read/crash")
+}
+
+fn crashed_servers(fleet: &mut GatewayFleet, servers: usize) -> usize {
+    let mut crashed = 0;
+    for server in 0..servers {
+        crashed += usize::from(fleet.server_process(server).has_exited());
+    }
+    crashed
+}
+
+/// Waits until the store has a record of a quarantined request.
+async fn wait_for_record(fleet: &GatewayFleet) {
+    let started = Instant::now();
+    while fleet.store_keys("quarantine").await.is_empty() {
+        assert!(
+            started.elapsed() < RECORD_TIMEOUT,
+            "the record is not in the store"
+        );
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against crash records that end with the VMs that made them.
+#[actix_rt::test]
+async fn restart_forgets_crashes() {
+    let mut fleet = start(2, 4).await;
+    assert_eq!(fleet.call(0, &crashing("r1")).await.status, 502);
+    fleet.wait_for_log(0, "quarantined=true").await;
+    wait_for_record(&fleet).await;
+    for vm in 0..2 {
+        fleet.vm_process(vm).kill();
+    }
+    for vm in 0..2 {
+        fleet.vm_process(vm).restart();
+    }
+    for vm in 0..2 {
+        fleet.wait_until_ready(vm).await;
+        assert_eq!(fleet.call(vm, &crashing("r2")).await.status, 503);
+    }
+    assert_eq!(crashed_servers(&mut fleet, 4), 2);
+}
+
+/// Guards against records that a store forgets when it returns from an older copy.
+#[actix_rt::test]
+async fn rollback_forgets_crashes() {
+    let mut fleet = start(2, 4).await;
+    let copy = fleet.store_version().await;
+    assert_eq!(fleet.call(0, &crashing("r1")).await.status, 502);
+    fleet.wait_for_log(0, "quarantined=true").await;
+    for _ in 0..2 {
+        wait_for_record(&fleet).await;
+        fleet.roll_back_store(copy).await;
+    }
+    wait_for_record(&fleet).await;
+    assert_eq!(crashed_servers(&mut fleet, 4), 2);
+}
+
+/// Guards against a retry of a request that has crashed a server before, and whose connection broke
+/// again.
+#[actix_rt::test]
+async fn suspect_crashes_two_more() {
+    let mut fleet = start(2, 1).await;
+    assert_eq!(fleet.call(0, &crashing("r1")).await.status, 502);
+    fleet.wait_for_log(0, "name=server_crashed").await;
+    fleet.wait_for_log(1, "name=crash_record_learned").await;
+    for server in 1..3 {
+        let id = format!("server-{server}");
+        fleet.add_server(&id, "service").await;
+        crash_on_request(&fleet, server).await;
+        for vm in 0..2 {
+            let listed = format!("server={id} change=added");
+            fleet.wait_for_log(vm, &listed).await;
+        }
+    }
+    assert_eq!(fleet.call(1, &crashing("r2")).await.status, 502);
+    assert_eq!(crashed_servers(&mut fleet, 3), 2);
+    fleet.wait_for_log(1, "quarantined=true").await;
+    for vm in 0..2 {
+        fleet.wait_for_status(vm, &crashing("r3"), 503).await;
+    }
+    assert_eq!(crashed_servers(&mut fleet, 3), 2);
+}
