fix(core): a crash record that another VM repeats is not an update

Cause: a digest holds the 16 crash records that were updated last, and each repetition by another VM counted as an update. With more than 16 records in the fleet the old ones refreshed each other in every digest, and a new one never left its VM. Class: state that is gossiped gets a new age on each hop, so that old entries look new, and none expires.

Both tests failed before: old_records_crowd_out_new_ones (8 of 9 VMs did not know after 3 s) and records_never_expire (all 9 still had it after 15 minutes).

Why it works: only a crash that a VM did not know changes the time of its record, so the newest crashes lead each digest, and records end 20 s (in digests) and ten minutes after the last new crash. The product's own path uses the same records and is mended with it.

--- a/crates/verbenahinge-core/src/quarantine.rs
+++ b/crates/verbenahinge-core/src/quarantine.rs
@@ -75,8 +75,11 @@
     ) -> bool {
         self.insert_crash(now, crash);
         let record = self.records.entry(fingerprint).or_default();
-        record.last_update = now;
         let is_new = record.crashes.insert(crash);
+        // Other VMs repeat what they know, so only a crash that was not known yet is an update.
+        if is_new {
+            record.last_update = now;
+        }
         self.evict_oldest();
         is_new
     }
--- a/crates/verbenahinge-core/tests/era_spread.rs
+++ b/crates/verbenahinge-core/tests/era_spread.rs
@@ -127,7 +127,9 @@
 
     /// Reads the store, if this VM watches it and the store has changed.
     fn watch(&mut self, vm: usize) {
-        let (rank, vms) = self.rounds.watcher_rank(vm, self.now);
+        let members = &self.rounds.members[vm];
+        let rank = members.watcher_rank(self.now);
+        let vms = members.live_addresses(self.now).count() + 1;
         let replica = &mut self.vms[vm].replica;
         if !watches_store(rank, vms, replica.age(self.now)) {
             return;
--- a/crates/verbenahinge-core/tests/support/rounds.rs
+++ b/crates/verbenahinge-core/tests/support/rounds.rs
@@ -24,7 +24,7 @@
 
 /// Members of a fleet, and the links between them.
 pub(crate) struct Rounds {
-    members: Vec<Members>,
+    pub(crate) members: Vec<Members>,
     seed: u64,
     draws: u64,
 }
@@ -70,13 +70,6 @@
         self.draw() % 1000 >= LOST_PER_THOUSAND
     }
 
-    /// Position of a VM among the watchers of the store, and the number of VMs that it knows.
-    pub(crate) fn watcher_rank(&self, vm: usize, now: Timestamp) -> (usize, usize) {
-        let members = &self.members[vm];
-        let vms = members.live_addresses(now).count() + 1;
-        (members.watcher_rank(now), vms)
-    }
-
     /// Runs the round of each VM and returns the digests that arrive.
     pub(crate) fn step(&mut self, now: Timestamp) -> Vec<Delivery> {
         let mut deliveries = Vec::new();
