fix(core): quarantined requests come first in digests

Callers would see: a request that crashes servers is sent on by other VMs, because the requests that were running beside a later crash fill the digests (up to 64 on one engine; a digest holds 16). The test suspects_crowd_out_quarantined failed before (8 of 9 VMs did not know after 3 s). Quarantined records, which other VMs have to act on, now come before suspects, and the latest first in each group. More than 16 that are quarantined within half a second would still wait for each other.

--- a/crates/verbenahinge-core/src/quarantine.rs
+++ b/crates/verbenahinge-core/src/quarantine.rs
@@ -138,7 +138,8 @@
         }
     }
 
-    /// Returns up to `limit` records updated at or after `since`, most recent first.
+    /// Returns up to `limit` records updated at or after `since`: quarantined ones first, then the
+    /// most recent ones.
     #[must_use]
     pub fn latest(&self, since: Timestamp, limit: usize) -> Vec<(Fingerprint, Vec<CrashId>)> {
         let mut recent: Vec<_> = self
@@ -146,7 +147,10 @@
             .iter()
             .filter(|(_, record)| record.last_update >= since)
             .collect();
-        recent.sort_by_key(|(_, record)| std::cmp::Reverse(record.last_update));
+        recent.sort_by_key(|(_, record)| {
+            let is_quarantined = record.crashes.len() >= QUARANTINE_CRASHES;
+            std::cmp::Reverse((is_quarantined, record.last_update))
+        });
         recent
             .into_iter()
             .take(limit)
