fix(gateway): a suspect whose connection breaks again is not retried

Callers would see: a request that had crashed a server, and that another VM or an earlier attempt had recorded, crashed two more within one attempt. Quarantine was looked up once, on arrival; a retry and the resumption of a stream were not asked.

allows_retry now decides before each further attempt: a quarantined request gets none, and a suspect none after a connection that broke, since it takes 60 ms until the crash shows. suspect_crashes_two_more failed before (3 servers instead of 2). The test now also waits until each VM has learned of the second crash before it sends the request there; without that it raced the digest.

Cost: a request that ran beside a crash and loses its connection again within ten minutes ends as 502.

--- a/crates/verbenahinge-core/src/gateway/crash_guard.rs
+++ b/crates/verbenahinge-core/src/gateway/crash_guard.rs
@@ -3,7 +3,7 @@
 //! Such a request crashes every server that starts it, and its caller resends it through any VM.
 
 use crate::quarantine::{Quarantine, QuarantineStatus};
-use crate::{CrashId, Fingerprint, Timestamp};
+use crate::{CrashId, FailureKind, Fingerprint, Timestamp};
 
 /// Maximum number of crash records in one digest.
 const MAX_CRASH_RECORDS: usize = 16;
@@ -41,6 +41,19 @@
         self.quarantine.status(fingerprint) == QuarantineStatus::Quarantined
     }
 
+    /// Returns whether a request may run again after an attempt that ended in `kind`.
+    ///
+    /// A request that has crashed a server before, and whose connection breaks again, may just have
+    /// crashed the second one. That shows only after a while, so it does not get a third one.
+    #[must_use]
+    pub fn allows_retry(&self, fingerprint: Fingerprint, kind: FailureKind) -> bool {
+        match self.quarantine.status(fingerprint) {
+            QuarantineStatus::Clear => true,
+            QuarantineStatus::Suspect => kind != FailureKind::ConnectionLost,
+            QuarantineStatus::Quarantined => false,
+        }
+    }
+
     /// Latest crash records, to be sent to other VMs.
     #[must_use]
     pub fn recent_records(&self, now: Timestamp) -> Vec<(Fingerprint, Vec<CrashId>)> {
--- a/crates/verbenahinge-core/src/gateway/state.rs
+++ b/crates/verbenahinge-core/src/gateway/state.rs
@@ -376,6 +376,13 @@
         self.crash_guard.note_completed(fingerprint)
     }
 
+    /// Whether a request may run again after an attempt that ended in `kind`; see
+    /// [`CrashGuard::allows_retry`].
+    #[must_use]
+    pub fn allows_retry(&self, fingerprint: Fingerprint, kind: FailureKind) -> bool {
+        self.crash_guard.allows_retry(fingerprint, kind)
+    }
+
     /// Whether a request must not run again.
     #[must_use]
     pub fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
--- a/crates/verbenahinge/src/gateway/request_handler.rs
+++ b/crates/verbenahinge/src/gateway/request_handler.rs
@@ -158,7 +158,11 @@
             self.gateway
                 .detect_crash(server.clone(), self.call.fingerprint);
         }
-        if self.try_spend_retry() && self.response_deadline() > now {
+        let allows_retry = {
+            let state = self.gateway.state.borrow();
+            state.allows_retry(self.call.fingerprint, kind)
+        };
+        if allows_retry && self.try_spend_retry() && self.response_deadline() > now {
             RetryDecision::Retry
         } else {
             RetryDecision::GiveUp(error)
--- a/crates/verbenahinge/tests/crashing_request.rs
+++ b/crates/verbenahinge/tests/crashing_request.rs
@@ -102,8 +102,8 @@
     }
     assert_eq!(fleet.call(1, &crashing("r2")).await.status, 502);
     assert_eq!(crashed_servers(&mut fleet, 3), 2);
-    fleet.wait_for_log(1, "quarantined=true").await;
     for vm in 0..2 {
+        fleet.wait_for_log(vm, "quarantined=true").await;
         fleet.wait_for_status(vm, &crashing("r3"), 503).await;
     }
     assert_eq!(crashed_servers(&mut fleet, 3), 2);
