fix(gateway): crash records outlive the VMs that made them

Callers would see: after a restart of VMs, or 20 s after the last crash for a VM that starts then, a request that is known to crash servers is sent to them again, two for each VM.

Cause: records lived in VMs' memory and in digests only; welcomes had none.

Records of quarantined requests are rows of the store now: written by the VM that finds the second crash, compared by three others within 2 s and in each era, read at a start, removed after ten minutes. They travel with their age, at once when a crash is found, and to a VM that starts.

--- a/crates/verbenahinge-core/src/gateway.rs
+++ b/crates/verbenahinge-core/src/gateway.rs
@@ -9,6 +9,7 @@
 mod bounds;
 mod call;
 mod crash_guard;
+mod crash_record;
 mod feed;
 mod members;
 mod number;
@@ -28,6 +29,7 @@
 pub use self::bounds::Bounds;
 pub use self::call::{Call, CallId};
 pub use self::crash_guard::CrashGuard;
+pub use self::crash_record::CrashRecord;
 pub use self::feed::{
     Feed, FeedDelta, RowChange, RowState, StoreRow, TableReplica, watch_timeout, watches_store,
 };
--- a/crates/verbenahinge-core/src/gateway/crash_guard.rs
+++ b/crates/verbenahinge-core/src/gateway/crash_guard.rs
@@ -2,6 +2,9 @@
 //!
 //! Such a request crashes every server that starts it, and its caller resends it through any VM.
 
+use std::time::Duration;
+
+use super::CrashRecord;
 use crate::quarantine::{Quarantine, QuarantineStatus};
 use crate::{CrashId, FailureKind, Fingerprint, Timestamp};
 
@@ -9,7 +12,7 @@
 const MAX_CRASH_RECORDS: usize = 16;
 
 /// Time for which a crash record is included in digests after its last update.
-const CRASH_RECORD_MAX_AGE: std::time::Duration = std::time::Duration::from_secs(20);
+const CRASH_RECORD_MAX_AGE: Duration = Duration::from_secs(20);
 
 /// Fingerprints of requests that were running when backend servers crashed.
 #[derive(Clone, Debug, Default)]
@@ -54,11 +57,42 @@
         }
     }
 
+    /// Adds a record of another VM or of the store; returns whether it names a crash that was not
+    /// known.
+    pub fn merge(&mut self, now: Timestamp, record: &CrashRecord) -> bool {
+        let at = now.saturating_sub(record.age);
+        let mut has_new = false;
+        for &crash in &record.crashes {
+            has_new |= self.note_crash(at, record.fingerprint, crash);
+        }
+        has_new
+    }
+
     /// Latest crash records, to be sent to other VMs.
     #[must_use]
-    pub fn recent_records(&self, now: Timestamp) -> Vec<(Fingerprint, Vec<CrashId>)> {
-        self.quarantine
-            .latest(now.saturating_sub(CRASH_RECORD_MAX_AGE), MAX_CRASH_RECORDS)
+    pub fn recent_records(&self, now: Timestamp) -> Vec<CrashRecord> {
+        self.records_since(now, CRASH_RECORD_MAX_AGE, MAX_CRASH_RECORDS)
+    }
+
+    /// Records of all quarantined requests, to be kept in the store and sent to VMs that start.
+    #[must_use]
+    pub fn quarantined_records(&self, now: Timestamp) -> Vec<CrashRecord> {
+        let mut records = self.records_since(now, now, usize::MAX);
+        records.retain(|record| self.is_quarantined(record.fingerprint));
+        records
+    }
+
+    fn records_since(&self, now: Timestamp, max_age: Duration, limit: usize) -> Vec<CrashRecord> {
+        let mut records = Vec::new();
+        let since = now.saturating_sub(max_age);
+        for (fingerprint, crashes, updated_at) in self.quarantine.latest(since, limit) {
+            records.push(CrashRecord {
+                fingerprint,
+                crashes,
+                age: now.saturating_sub(updated_at),
+            });
+        }
+        records
     }
 
     /// Removes old records.
--- a/crates/verbenahinge-core/src/gateway/state/peer_digest.rs
+++ b/crates/verbenahinge-core/src/gateway/state/peer_digest.rs
@@ -2,9 +2,9 @@
 
 use super::{GatewayState, Peer};
 use crate::gateway::number::to_u32;
-use crate::gateway::{PartId, PeerLoad};
+use crate::gateway::{CrashRecord, PartId, PeerLoad};
 use crate::hash::hash64;
-use crate::{CrashId, Fingerprint, Timestamp, VmId};
+use crate::{Fingerprint, Timestamp, VmId};
 
 /// Load that one VM puts on one server.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -25,7 +25,7 @@
     /// Load that the sender puts on servers.
     pub servers: Vec<ServerDigest>,
     /// Requests that were running when servers crashed, with those crashes.
-    pub crashes: Vec<(Fingerprint, Vec<CrashId>)>,
+    pub crashes: Vec<CrashRecord>,
 }
 
 impl GatewayState {
@@ -98,6 +98,34 @@
         }
     }
 
+    /// Adds crash records of another VM or of the store; returns the fingerprints for which they name
+    /// new crashes.
+    pub fn merge_crash_records(
+        &mut self,
+        now: Timestamp,
+        records: &[CrashRecord],
+    ) -> Vec<Fingerprint> {
+        let mut learned = Vec::new();
+        for record in records {
+            if self.crash_guard.merge(now, record) {
+                learned.push(record.fingerprint);
+            }
+        }
+        learned
+    }
+
+    /// Latest crash records, to be sent to other VMs.
+    #[must_use]
+    pub fn recent_crash_records(&self, now: Timestamp) -> Vec<CrashRecord> {
+        self.crash_guard.recent_records(now)
+    }
+
+    /// Records of all quarantined requests.
+    #[must_use]
+    pub fn quarantined_records(&self, now: Timestamp) -> Vec<CrashRecord> {
+        self.crash_guard.quarantined_records(now)
+    }
+
     /// Removes a VM that has shut down, with the load that it reported.
     pub fn forget_peer(&mut self, vm: VmId) {
         self.peers.remove(&vm);
@@ -108,20 +136,7 @@
 
     /// Applies a digest of another VM; returns the fingerprints for which it names new crashes.
     pub fn apply_digest(&mut self, now: Timestamp, digest: &PeerDigest) -> Vec<Fingerprint> {
-        let mut learned = Vec::new();
-        for (&fingerprint, crashes) in digest
-            .crashes
-            .iter()
-            .map(|(fingerprint, crashes)| (fingerprint, crashes))
-        {
-            let mut has_new = false;
-            for &crash in crashes {
-                has_new |= self.crash_guard.note_crash(now, fingerprint, crash);
-            }
-            if has_new {
-                learned.push(fingerprint);
-            }
-        }
+        let learned = self.merge_crash_records(now, &digest.crashes);
         for server in &digest.servers {
             let Some(name) = self.names_by_hash.get(&server.server) else {
                 continue;
--- a/crates/verbenahinge-core/src/node/peers.rs
+++ b/crates/verbenahinge-core/src/node/peers.rs
@@ -152,7 +152,7 @@
         self.quarantine
             .latest(since, MAX_CRASH_RECORDS)
             .into_iter()
-            .map(|(fingerprint, crashes)| CrashRecord {
+            .map(|(fingerprint, crashes, _)| CrashRecord {
                 fingerprint,
                 crashes,
             })
--- a/crates/verbenahinge-core/src/quarantine.rs
+++ b/crates/verbenahinge-core/src/quarantine.rs
@@ -24,7 +24,7 @@
 const COMMON_CAUSE_WINDOW: Duration = Duration::from_secs(2);
 
 /// Time after which a crash or a fingerprint record expires.
-const RECORD_TTL: Duration = Duration::from_mins(10);
+pub const RECORD_TTL: Duration = Duration::from_mins(10);
 
 /// Maximum number of fingerprint records; beyond it, the least recently updated is evicted.
 const MAX_RECORDS: usize = 4096;
@@ -66,19 +66,20 @@
         Self::default()
     }
 
-    /// Records that a fingerprint was running at a crash; returns whether this was not known yet.
+    /// Records that a fingerprint was running at a crash that became known at `at`; returns whether
+    /// this VM did not know it yet.
     pub fn record_crash(
         &mut self,
-        now: Timestamp,
+        at: Timestamp,
         fingerprint: Fingerprint,
         crash: CrashId,
     ) -> bool {
-        self.insert_crash(now, crash);
+        self.insert_crash(at, crash);
         let record = self.records.entry(fingerprint).or_default();
         let is_new = record.crashes.insert(crash);
         // Other VMs repeat what they know, so only a crash that was not known yet is an update.
         if is_new {
-            record.last_update = now;
+            record.last_update = record.last_update.max(at);
         }
         self.evict_oldest();
         is_new
@@ -139,9 +140,13 @@
     }
 
     /// Returns up to `limit` records updated at or after `since`: quarantined ones first, then the
-    /// most recent ones.
+    /// most recent ones; each with its last update.
     #[must_use]
-    pub fn latest(&self, since: Timestamp, limit: usize) -> Vec<(Fingerprint, Vec<CrashId>)> {
+    pub fn latest(
+        &self,
+        since: Timestamp,
+        limit: usize,
+    ) -> Vec<(Fingerprint, Vec<CrashId>, Timestamp)> {
         let mut recent: Vec<_> = self
             .records
             .iter()
@@ -154,7 +159,10 @@
         recent
             .into_iter()
             .take(limit)
-            .map(|(&fingerprint, record)| (fingerprint, record.crashes.iter().copied().collect()))
+            .map(|(&fingerprint, record)| {
+                let crashes = record.crashes.iter().copied().collect();
+                (fingerprint, crashes, record.last_update)
+            })
             .collect()
     }
 
--- a/crates/verbenahinge/src/gateway.rs
+++ b/crates/verbenahinge/src/gateway.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod connection_pool;
 mod control;
+mod crash_store;
 mod event_splitter;
 mod frontend;
 mod metrics;
@@ -33,6 +34,7 @@
 use verbenahinge_platform::node_file::VmSettings;
 
 use self::connection_pool::ConnectionPool;
+use self::crash_store::CrashStore;
 use self::metrics::GatewayMetrics;
 use self::peers::Peers;
 use self::watch::Replicas;
@@ -60,6 +62,7 @@
     pub(crate) metrics: GatewayMetrics,
     pub(crate) peers: Peers,
     pub(crate) replicas: Replicas,
+    pub(crate) crash_store: CrashStore,
     pub(crate) is_draining: Cell<bool>,
     pub(crate) requests_in_flight: Cell<usize>,
     /// Whether new requests are refused, because the process may exit before they complete.
@@ -100,6 +103,7 @@
                 state.registry().get(&server).map(|entry| entry.address)
             };
             let Some(address) = address else {
+                // An entry lapses seconds after a crash, so this server had left as planned.
                 return;
             };
             if let Ok(lease) = gateway.connections.connect(&server, address).await {
@@ -107,13 +111,22 @@
                 return;
             }
             let now = gateway.now();
-            let mut state = gateway.state.borrow_mut();
-            if state.note_crash(now, &server, fingerprint) {
-                LogEvent::ServerCrashed.log(&[
-                    ("server", &server),
-                    ("fingerprint", &format!("{fingerprint:016x}")),
-                    ("quarantined", &state.is_quarantined(fingerprint)),
-                ]);
+            let is_new = {
+                let mut state = gateway.state.borrow_mut();
+                state.note_crash(now, &server, fingerprint)
+            };
+            if !is_new {
+                return;
+            }
+            let is_quarantined = gateway.state.borrow().is_quarantined(fingerprint);
+            LogEvent::ServerCrashed.log(&[
+                ("server", &server),
+                ("fingerprint", &format!("{fingerprint:016x}")),
+                ("quarantined", &is_quarantined),
+            ]);
+            peers::push_crashes(&gateway);
+            if is_quarantined {
+                gateway.crash_store.note_found();
             }
         });
     }
@@ -165,6 +178,7 @@
         metrics: GatewayMetrics::new(),
         peers,
         replicas: Replicas::new(),
+        crash_store: CrashStore::new(),
         is_draining: Cell::new(false),
         requests_in_flight: Cell::new(0),
         is_closing: Cell::new(false),
@@ -185,6 +199,7 @@
         watch::catch_up(gateway, Feed::Servers)
     });
     spawn_task(&gateway, "newer_config", watch::catch_up_config);
+    spawn_task(&gateway, "crash_records", crash_store::sync_records);
     spawn_task(&gateway, "membership", watch::discover_vms);
     spawn_task(&gateway, "digests_in", peers::receive_messages);
     spawn_task(&gateway, "digests_out", peers::send_digests);
--- a/crates/verbenahinge/src/gateway/peer_message.rs
+++ b/crates/verbenahinge/src/gateway/peer_message.rs
@@ -3,11 +3,12 @@
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr};
+use std::time::Duration;
 
 use strum::IntoStaticStr;
 use verbenahinge_core::gateway::{
-    Feed, FeedDelta, LoadReport, PartState, PeerDigest, PeerLoad, PrefillLoad, RowChange, RowState,
-    ServerDigest, StoreVersion,
+    CrashRecord, Feed, FeedDelta, LoadReport, PartState, PeerDigest, PeerLoad, PrefillLoad,
+    RowChange, RowState, ServerDigest, StoreVersion,
 };
 
 /// Purpose of a message to another VM; the metrics use it as a label.
@@ -30,6 +31,8 @@
     /// Reply to a load query.
     #[strum(serialize = "answer")]
     LoadReply,
+    /// Latest crash records, sent as soon as a server has crashed.
+    Crash,
     /// Notice that the sender is shutting down.
     #[strum(serialize = "farewell")]
     Shutdown,
@@ -235,6 +238,9 @@
     pub(super) fingerprint: u64,
     #[prost(fixed64, repeated, tag = "2")]
     pub(super) crashes: Vec<u64>,
+    /// Time since the latest crash became known.
+    #[prost(uint32, tag = "3")]
+    pub(super) age_ms: u32,
 }
 
 impl PeerMessage {
@@ -245,10 +251,11 @@
             servers.push(encode_server(server));
         }
         let mut crashes = Vec::new();
-        for (fingerprint, ids) in digest.crashes {
+        for record in digest.crashes {
             crashes.push(CrashMessage {
-                fingerprint,
-                crashes: ids,
+                fingerprint: record.fingerprint,
+                crashes: record.crashes,
+                age_ms: u32::try_from(record.age.as_millis()).unwrap_or(u32::MAX),
             });
         }
         Self {
@@ -270,7 +277,11 @@
         }
         let mut crashes = Vec::new();
         for crash in self.crashes {
-            crashes.push((crash.fingerprint, crash.crashes));
+            crashes.push(CrashRecord {
+                fingerprint: crash.fingerprint,
+                crashes: crash.crashes,
+                age: Duration::from_millis(u64::from(crash.age_ms)),
+            });
         }
         PeerDigest {
             vm: self.vm,
--- a/crates/verbenahinge/src/gateway/peers.rs
+++ b/crates/verbenahinge/src/gateway/peers.rs
@@ -21,12 +21,19 @@
 use self::load::{PendingQuery, handle_query_or_reply, send_to_aggregators};
 pub(super) use self::load::{query_load, send_load};
 use super::peer_message::{MessageKind, PeerMessage, pack_ip, unpack_ip};
-use super::{Gateway, watch};
+use super::{Gateway, crash_store, watch};
 use crate::event_log::LogEvent;
 
 /// Size of the receive buffer; the rest of a longer datagram is lost.
 const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
 
+/// Time in which crash records are collected before they are sent: a server that crashes ends all of
+/// its connections at the same moment.
+const CRASH_PUSH_DELAY: Duration = Duration::from_millis(10);
+
+/// Most crash records in a reply to a VM that starts, which fit into one datagram.
+const MAX_WELCOME_RECORDS: usize = 32;
+
 /// Other VMs of the fleet, and the socket for messages to and from them.
 pub(crate) struct Peers {
     socket: UdpSocket,
@@ -34,6 +41,7 @@
     members: RefCell<Members>,
     /// Era of the store in which this VM last began to write its address.
     registered_era: Cell<Option<u64>>,
+    has_pending_crash_push: Cell<bool>,
     last_query_id: Cell<u64>,
     pending_queries: RefCell<BTreeMap<u64, PendingQuery>>,
     slow_until: RefCell<BTreeMap<IpAddr, Timestamp>>,
@@ -51,6 +59,7 @@
             port: settings.peer_port,
             members: RefCell::new(Members::new(settings.ip)),
             registered_era: Cell::new(None),
+            has_pending_crash_push: Cell::new(false),
             last_query_id: Cell::new(0),
             pending_queries: RefCell::default(),
             slow_until: RefCell::default(),
@@ -186,6 +195,28 @@
     send_to(gateway, MessageKind::Shutdown, message, &receivers).await;
 }
 
+/// Tells all known VMs the latest crash records, once for all crashes within [`CRASH_PUSH_DELAY`].
+pub(super) fn push_crashes(gateway: &Rc<Gateway>) {
+    if gateway.peers.has_pending_crash_push.replace(true) {
+        return;
+    }
+    let gateway = Rc::clone(gateway);
+    actix_rt::spawn(async move {
+        actix_rt::time::sleep(CRASH_PUSH_DELAY).await;
+        gateway.peers.has_pending_crash_push.set(false);
+        let now = gateway.now();
+        let digest = {
+            let state = gateway.state.borrow();
+            let mut digest = state.digest_without_load(now);
+            digest.crashes = state.recent_crash_records(now);
+            digest
+        };
+        let message = PeerMessage::new(digest, Vec::new(), Vec::new());
+        let receivers = gateway.peers.known_addresses();
+        send_to(&gateway, MessageKind::Crash, message, &receivers).await;
+    });
+}
+
 /// Receives messages for as long as the process runs.
 pub(super) async fn receive_messages(gateway: Rc<Gateway>) {
     let mut buffer = vec![0; RECEIVE_BUFFER_BYTES];
@@ -230,18 +261,10 @@
     if message.query_id > 0 {
         handle_query_or_reply(gateway, from, &mut message);
     }
-    let digest = message.into_digest();
-    let learned = gateway.state.borrow_mut().apply_digest(now, &digest);
-    for fingerprint in learned {
-        LogEvent::CrashRecordLearned.log(&[
-            ("fingerprint", &format!("{fingerprint:016x}")),
-            ("peer", &from),
-            (
-                "quarantined",
-                &gateway.state.borrow().is_quarantined(fingerprint),
-            ),
-        ]);
-    }
+    let mut digest = message.into_digest();
+    let records = std::mem::take(&mut digest.crashes);
+    crash_store::merge_records(gateway, &records, &from.to_string());
+    gateway.state.borrow_mut().apply_digest(now, &digest);
     if gateway.peers.members.borrow_mut().record_message(now, from) {
         LogEvent::PeerLinked.log(&[("address", &from)]);
         send_welcome(gateway, from, known_count);
@@ -255,7 +278,15 @@
         .members
         .borrow()
         .addresses_for_new(known_count);
-    let digest = gateway.state.borrow().digest_without_load(gateway.now());
+    let now = gateway.now();
+    let digest = {
+        let state = gateway.state.borrow();
+        let mut digest = state.digest_without_load(now);
+        // A VM that starts while the store is away learns them here only.
+        digest.crashes = state.quarantined_records(now);
+        digest.crashes.truncate(MAX_WELCOME_RECORDS);
+        digest
+    };
     let message = digest_message(gateway, digest, &addresses);
     let gateway = Rc::clone(gateway);
     actix_rt::spawn(async move { send_to(&gateway, MessageKind::Welcome, message, &[to]).await });
--- a/crates/verbenahinge/src/gateway/watch.rs
+++ b/crates/verbenahinge/src/gateway/watch.rs
@@ -26,7 +26,7 @@
 pub(super) use self::row_changes::apply_peer_delta;
 use self::row_changes::{apply_newer_config, apply_store_rows};
 use self::store_health::StoreHealth;
-use super::{Gateway, peers};
+use super::{Gateway, crash_store, peers};
 
 /// Time between two checks whether this VM has to watch the store.
 const WATCHER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -173,6 +173,7 @@
                 let is_ignored = response_log.record_rows(&gateway, feed, &rows);
                 apply_store_rows(&gateway, feed, rows, is_snapshot, gap);
                 peers::register_in_era(&gateway, era);
+                crash_store::note_era(&gateway, era);
                 if is_ignored {
                     actix_rt::time::sleep(IGNORED_RESPONSE_PAUSE).await;
                 }
--- a/crates/verbenahinge/tests/crashing_request.rs
+++ b/crates/verbenahinge/tests/crashing_request.rs
@@ -55,14 +55,19 @@
     assert_eq!(fleet.call(0, &crashing("r1")).await.status, 502);
     fleet.wait_for_log(0, "quarantined=true").await;
     wait_for_record(&fleet).await;
+    let mut log_lengths = Vec::new();
     for vm in 0..2 {
         fleet.vm_process(vm).kill();
+        log_lengths.push(fleet.read_log(vm).len());
     }
     for vm in 0..2 {
         fleet.vm_process(vm).restart();
     }
-    for vm in 0..2 {
+    for (vm, length) in log_lengths.into_iter().enumerate() {
         fleet.wait_until_ready(vm).await;
+        fleet
+            .wait_for_log_after(vm, length, "quarantined=true")
+            .await;
         assert_eq!(fleet.call(vm, &crashing("r2")).await.status, 503);
     }
     assert_eq!(crashed_servers(&mut fleet, 4), 2);
