--- a/crates/verbenahinge-emulator/src/scripted_server.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server.rs
@@ -13,7 +13,7 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString};
@@ -63,7 +63,7 @@
 }
 
 /// Faults and timing of a server.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default)]
 pub struct ServerFaults {
     /// Fault to inject.
@@ -74,6 +74,8 @@
     pub work_ms: u64,
     /// Number of events in a complete stream.
     pub events: u64,
+    /// Rate limit that responses name, in requests per second; 0 means none.
+    pub limit_per_s: f64,
 }
 
 /// Record of a request that a server executed.
@@ -95,10 +97,12 @@
     pub last_event: u64,
     /// Whether the complete response was sent.
     pub is_complete: bool,
+    /// Time of its arrival since the start of the server, in milliseconds.
+    pub arrived_ms: u64,
 }
 
 /// Options of a server.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ScriptedServerOptions {
     /// ID of the server in the registry.
     pub id: String,
@@ -114,6 +118,7 @@
     faults: RefCell<ServerFaults>,
     executed_requests: RefCell<Vec<ExecutedRequest>>,
     running: Cell<u32>,
+    started: Instant,
 }
 
 /// Serves requests until the future is dropped.
@@ -123,6 +128,7 @@
         options,
         executed_requests: RefCell::default(),
         running: Cell::new(0),
+        started: Instant::now(),
     });
     loop {
         match listener.accept().await {
@@ -199,9 +205,12 @@
             return Ok(true);
         }
         let record_index = self.executed_requests.borrow().len();
-        self.executed_requests
-            .borrow_mut()
-            .push(request.to_executed_request());
+        let arrived_ms = self.started.elapsed().as_millis();
+        let executed = ExecutedRequest {
+            arrived_ms: u64::try_from(arrived_ms).unwrap_or(u64::MAX),
+            ..request.to_executed_request()
+        };
+        self.executed_requests.borrow_mut().push(executed);
         self.running.set(self.running.get() + 1);
         let result = self.execute(stream, request, fault, record_index).await;
         self.running.set(self.running.get() - 1);
@@ -223,6 +232,7 @@
             _ = stream.peek(&mut peeked) => return Ok(false),
         }
         let load = [self.running.get(), 0, self.options.slots];
+        let limit_per_s = self.faults.borrow().limit_per_s;
         match fault {
             ServerFault::LoseAnswer => return Ok(false),
             ServerFault::Silence => return std::future::pending().await,
@@ -239,7 +249,7 @@
                 let mut foreign = request.clone();
                 "foreign".clone_into(&mut foreign.request_id);
                 stream
-                    .write_all(&response::complete(&foreign, load))
+                    .write_all(&response::complete(&foreign, load, limit_per_s))
                     .await?;
             }
             ServerFault::Unframed => {
@@ -249,7 +259,7 @@
                 return Ok(false);
             }
             ServerFault::BreakOff if !request.is_stream => {
-                let bytes = response::complete(request, load);
+                let bytes = response::complete(request, load, limit_per_s);
                 stream.write_all(&bytes[..bytes.len() - 2]).await?;
                 return Ok(false);
             }
@@ -262,13 +272,17 @@
         if request.is_stream {
             self.send_events(stream, request, fault).await?;
         } else {
-            stream.write_all(&response::complete(request, load)).await?;
+            stream
+                .write_all(&response::complete(request, load, limit_per_s))
+                .await?;
         }
         if let Some(executed) = self.executed_requests.borrow_mut().get_mut(record_index) {
             executed.is_complete = true;
         }
         if fault == ServerFault::ExtraAnswer {
-            stream.write_all(&response::complete(request, load)).await?;
+            stream
+                .write_all(&response::complete(request, load, limit_per_s))
+                .await?;
         }
         Ok(fault != ServerFault::BreakOff)
     }
@@ -281,7 +295,9 @@
     ) -> io::Result<()> {
         let faults = *self.faults.borrow();
         let event_interval = Duration::from_millis(faults.work_ms);
-        stream.write_all(&response::stream_head(request)).await?;
+        stream
+            .write_all(&response::stream_head(request, faults.limit_per_s))
+            .await?;
         let first = request.last_event + 1;
         for id in first..=faults.events {
             let event = response::event(id, &self.options.id);
--- a/crates/verbenahinge-emulator/src/scripted_server/response.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/response.rs
@@ -31,13 +31,23 @@
     )
 }
 
+/// Header line with a rate limit; empty if there is none.
+fn limit_header(limit_per_s: f64) -> String {
+    if limit_per_s > 0.0 {
+        format!("{}: {limit_per_s}\r\n", http_headers::RATE_LIMIT)
+    } else {
+        String::new()
+    }
+}
+
 /// Complete response whose body contains the request ID.
-pub(super) fn complete(request: &ParsedRequest, load: [u32; 3]) -> Vec<u8> {
+pub(super) fn complete(request: &ParsedRequest, load: [u32; 3], limit_per_s: f64) -> Vec<u8> {
     let body = format!("answer to {}", request.request_id);
     let [running, waiting, slots] = load;
     let headers = format!(
-        "{}{}: {running},{waiting},{slots}\r\ncontent-length: {}\r\n",
+        "{}{}{}: {running},{waiting},{slots}\r\ncontent-length: {}\r\n",
         signature_header(request),
+        limit_header(limit_per_s),
         http_headers::LOAD,
         body.len(),
     );
@@ -72,10 +82,11 @@
 }
 
 /// Status line and headers of an event stream.
-pub(super) fn stream_head(request: &ParsedRequest) -> Vec<u8> {
+pub(super) fn stream_head(request: &ParsedRequest, limit_per_s: f64) -> Vec<u8> {
     let headers = format!(
-        "{}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n",
+        "{}{}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n",
         signature_header(request),
+        limit_header(limit_per_s),
     );
     response_head("200 OK", request, &headers).into_bytes()
 }
--- a/crates/verbenahinge-testkit/src/gateway_fleet/emulators.rs
+++ b/crates/verbenahinge-testkit/src/gateway_fleet/emulators.rs
@@ -178,6 +178,7 @@
                 times,
                 work_ms: 5,
                 events: 5,
+                ..ServerFaults::default()
             },
         )
         .await;
--- a/crates/verbenahinge/src/cli/emulate.rs
+++ b/crates/verbenahinge/src/cli/emulate.rs
@@ -49,7 +49,13 @@
         .optopt("", "id", "server: name in the registry", "NAME")
         .optopt("", "work-ms", "server: time per request or event [5]", "MS")
         .optopt("", "events", "server: events per stream [5]", "N")
-        .optopt("", "fault", "server: fault to inject [none]", "FAULT");
+        .optopt("", "fault", "server: fault to inject [none]", "FAULT")
+        .optopt(
+            "",
+            "limit",
+            "server: requests per second that it names [none]",
+            "N",
+        );
     let usage_line = "emulate platform|engine|service|store|server --listen IP:PORT [OPTIONS]";
     let Some(matches) = parse_options(&mut options, args, usage_line)? else {
         return Ok(EXIT_OK);
@@ -119,6 +125,7 @@
             times: 0,
             work_ms: option_or_default(matches, "work-ms", 5)?,
             events: option_or_default(matches, "events", 5)?,
+            limit_per_s: option_or_default(matches, "limit", 0.0)?,
         },
     })
 }
--- a/crates/verbenahinge/src/gateway/relay.rs
+++ b/crates/verbenahinge/src/gateway/relay.rs
@@ -153,7 +153,7 @@
 /// Response of a server to a request for a stream.
 enum ServerReply {
     Stream(Box<ServerStream>),
-    Buffered(BufferedResponse),
+    Buffered(Box<BufferedResponse>),
 }
 
 /// Sends the request to a server and waits for the head of the response.
@@ -198,7 +198,7 @@
     gateway
         .buffer_response(response, deadline)
         .await
-        .map(ServerReply::Buffered)
+        .map(|response| ServerReply::Buffered(Box::new(response)))
 }
 
 /// Serves a request whose response is a stream of events.
@@ -221,11 +221,11 @@
             },
             Ok(ServerReply::Buffered(response)) => match handler.check_response(&server, &response)
             {
-                None => return handler.forward_response(&server, response),
+                None => return handler.forward_response(&server, *response),
                 Some(kind) => match handler.handle_failure(&server, AttemptError::Failed(kind)) {
                     RetryDecision::Retry => continue,
                     RetryDecision::GiveUp(_) if kind == FailureKind::ServerError => {
-                        return handler.forward_response(&server, response);
+                        return handler.forward_response(&server, *response);
                     }
                     RetryDecision::GiveUp(error) => return handler.respond_failed(error),
                 },
