feat(gateway): a server's own rate limit is kept over all VMs

Callers saw: nothing; the servers in need got up to 27 requests in 4 s where 19 were allowed (LIMIT), since nothing read Server-Limit.

Each VM that an answer has told, or another VM in a full digest, now sends to a limited server at its share of the limit: by demand over the last 4 s among a group of VMs that all pick alike by hash, so small that one request ahead of each share fits into the room for late news (half of the limit, and 5). The others go elsewhere; if every server is limited, the request is refused at once with the time until the next share. Less urgent requests yield for a second after a more urgent one was refused, and get one every two seconds. A limit ends with an answer without it to a request that was sent after it was last named, and with a restart. Observations carry their age and are not relayed.

limit_ignored and limited_service_refuses_at_once failed before (78 in 4 s of 17; 0 refused).

--- a/crates/verbenahinge-core/src/gateway.rs
+++ b/crates/verbenahinge-core/src/gateway.rs
@@ -45,6 +45,6 @@
     ServiceName, TrafficShare,
 };
 pub use self::server_order::ServerOrder;
-pub use self::state::{GatewayState, PeerDigest, ServerDigest};
+pub use self::state::{GatewayState, LimitReport, PeerDigest, ServerDigest};
 pub use self::store_contact::{REREGISTER_GRACE, StoreContact, StoreGap};
 pub use self::store_version::StoreVersion;
--- a/crates/verbenahinge-core/src/gateway/backend.rs
+++ b/crates/verbenahinge-core/src/gateway/backend.rs
@@ -6,12 +6,14 @@
 
 mod health;
 mod load;
+mod rate_limiter;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use self::health::Health;
 pub use self::load::{LoadReport, PeerLoad, PrefillLoad};
+pub(super) use self::rate_limiter::{LimitShare, RateLimiter};
 use super::number::to_u32;
 use super::{Call, CallId, PartCache, PartId, PartState, Priority};
 use crate::{FailureKind, Timestamp, VmId};
@@ -68,6 +70,7 @@
     own_report: Option<LoadReport>,
     health: Health,
     last_progress: Timestamp,
+    pub(super) limiter: RateLimiter,
 }
 
 impl Default for Backend {
@@ -90,6 +93,7 @@
             own_report: None,
             health: Health::new(),
             last_progress: Duration::ZERO,
+            limiter: RateLimiter::new(),
         }
     }
 
@@ -99,6 +103,7 @@
         self.cached.clear();
         self.report = None;
         self.health = Health::new();
+        self.limiter = RateLimiter::new();
     }
 
     /// Cost of prefilling the uncached tokens of a prompt, in tokens without context.
@@ -140,6 +145,7 @@
             shared_parts,
         };
         self.in_flight.insert(call.id, request);
+        self.limiter.note_sent();
     }
 
     /// Records the first token of a request and updates the prefill rate.
@@ -197,6 +203,12 @@
         self.health.is_ejected(now)
     }
 
+    /// Time until the server may get a request from this VM again; `None` if it may now.
+    #[must_use]
+    pub fn limit_wait(&self) -> Option<Duration> {
+        (!self.limiter.is_open()).then(|| self.limiter.wait())
+    }
+
     /// Moving average of the share of requests that failed.
     #[must_use]
     pub const fn error_rate(&self) -> f64 {
--- a/crates/verbenahinge-core/src/gateway/placement.rs
+++ b/crates/verbenahinge-core/src/gateway/placement.rs
@@ -95,6 +95,9 @@
     TooLate(Duration),
     /// The engines that would be in time are full.
     Full,
+    /// All servers that could be used have named a rate limit that is used up; holds the shortest time
+    /// until one may get a request.
+    Limited(Duration),
     /// The prefill queues of the engines that would be in time have room only for more urgent
     /// prompts; holds the shortest expected wait.
     Yields(Duration),
@@ -148,16 +151,27 @@
         call: &Call,
         candidates: &[Candidate],
     ) -> Result<ServerChoice, PlacementError> {
-        let mut usable: Vec<Candidate> = Vec::new();
+        let mut open: Vec<Candidate> = Vec::new();
+        let mut least_wait = Duration::MAX;
         for candidate in candidates {
+            match candidate.backend.limit_wait() {
+                None => open.push(*candidate),
+                Some(wait) => least_wait = least_wait.min(wait),
+            }
+        }
+        if open.is_empty() && !candidates.is_empty() {
+            return Err(PlacementError::Limited(least_wait));
+        }
+        let mut usable: Vec<Candidate> = Vec::new();
+        for candidate in &open {
             if !candidate.backend.is_ejected(self.now) {
                 usable.push(*candidate);
             }
         }
         // If more than half of the candidates are ejected, the fault is likely on this VM, so the
         // ejections are ignored.
-        if usable.len() * 2 < candidates.len() {
-            usable = candidates.to_vec();
+        if usable.len() * 2 < open.len() {
+            usable = open;
         }
         if usable.is_empty() {
             return Err(PlacementError::NoServer);
--- a/crates/verbenahinge-core/src/gateway/retry_window.rs
+++ b/crates/verbenahinge-core/src/gateway/retry_window.rs
@@ -37,6 +37,17 @@
         self.requests.push_back(now);
     }
 
+    /// Number of requests of callers since a time within the window.
+    #[must_use]
+    pub fn requests_since(&self, since: Timestamp) -> u32 {
+        let recent = self
+            .requests
+            .iter()
+            .rev()
+            .take_while(|&&time| time >= since);
+        u32::try_from(recent.count()).unwrap_or(u32::MAX)
+    }
+
     /// Records a retry if the allowance of this VM permits it; returns whether it does.
     pub fn try_spend(&mut self, now: Timestamp, vms: usize) -> bool {
         self.expire(now);
--- a/crates/verbenahinge-core/src/gateway/state.rs
+++ b/crates/verbenahinge-core/src/gateway/state.rs
@@ -1,13 +1,16 @@
 //! State of one gateway VM and the routing decisions based on it.
 
 mod demand;
+mod limits;
 mod peer_digest;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use self::demand::PromptArrival;
+pub use self::limits::LimitReport;
+use self::limits::{LimitedPriority, PeerDemands};
 pub use self::peer_digest::{PeerDigest, ServerDigest};
 use super::placement::Candidate;
 use super::{
@@ -18,6 +21,9 @@
 use crate::hash::hash64;
 use crate::{ConfigVersion, FailureKind, Fingerprint, ServerName, Timestamp, VmId, ZoneName};
 
+/// Delay after which a less urgent request may use what the servers' limits leave.
+const LIMIT_YIELD_DELAY: Duration = Duration::from_secs(1);
+
 #[derive(Clone, Copy, Debug)]
 struct Peer {
     last_digest_at: Timestamp,
@@ -43,6 +49,9 @@
     interactive_group_sizes: BTreeMap<ServiceName, usize>,
     group_sizes_updated_at: BTreeMap<ServiceName, Timestamp>,
     prompt_arrivals: BTreeMap<ServiceName, BTreeMap<Priority, PromptArrival>>,
+    limited_servers: BTreeSet<ServerName>,
+    peer_demands: PeerDemands,
+    limited_priorities: BTreeMap<ServiceName, BTreeMap<Priority, LimitedPriority>>,
 }
 
 impl GatewayState {
@@ -66,6 +75,9 @@
             interactive_group_sizes: BTreeMap::new(),
             group_sizes_updated_at: BTreeMap::new(),
             prompt_arrivals: BTreeMap::new(),
+            limited_servers: BTreeSet::new(),
+            peer_demands: BTreeMap::new(),
+            limited_priorities: BTreeMap::new(),
         }
     }
 
@@ -182,6 +194,7 @@
             backend.expire_peers(now);
         }
         self.crash_guard.expire(now);
+        self.expire_limits(now);
         expired
     }
 
@@ -223,8 +236,15 @@
         tried: &[ServerName],
     ) -> Result<ServerChoice, PlacementError> {
         self.resize_interactive_group(now, call);
+        self.refresh_limits(now, call);
+        if self.yields_limited(now, call) {
+            return Err(PlacementError::Limited(LIMIT_YIELD_DELAY));
+        }
         let candidates = self.candidates(call, tried);
-        self.placement_context(now, call).choose(call, &candidates)
+        let choice = self.placement_context(now, call).choose(call, &candidates);
+        let is_refused = matches!(choice, Err(PlacementError::Limited(_)));
+        self.note_limited(now, call, is_refused);
+        choice
     }
 
     /// Chooses a backend server for a call among those whose load was queried.
@@ -270,6 +290,7 @@
         count: usize,
     ) -> Vec<ServerName> {
         self.resize_interactive_group(now, call);
+        self.refresh_limits(now, call);
         let (Some(order), Some(prompt)) = (self.registry.order(&call.service), &call.prompt) else {
             return Vec::new();
         };
@@ -278,7 +299,10 @@
         let group_size = context.interactive_group_size;
         order.top_ranked(prompt.prefix_key(), group_size, interactive, count, |id| {
             let backend = self.backends.get(id);
-            !tried.contains(id) && backend.is_some_and(|backend| !backend.is_ejected(now))
+            !tried.contains(id)
+                && backend.is_some_and(|backend| {
+                    !backend.is_ejected(now) && backend.limit_wait().is_none()
+                })
         })
     }
 
--- a/crates/verbenahinge/src/event_log.rs
+++ b/crates/verbenahinge/src/event_log.rs
@@ -61,6 +61,8 @@
     CrashRecordLearned = 405,
     /// A crash record was dropped, since its request ran to completion.
     CrashRecordDropped = 406,
+    /// A backend server named a limit for its requests, or stopped naming one.
+    ServerLimited = 407,
     /// A request was refused.
     RequestRefused = 500,
     /// A request was refused because it crashed backend servers.
--- a/crates/verbenahinge/src/gateway/attempt.rs
+++ b/crates/verbenahinge/src/gateway/attempt.rs
@@ -13,6 +13,7 @@
 
 use super::Gateway;
 use super::connection_pool::PooledConnection;
+use crate::event_log::LogEvent;
 
 /// Maximum size of a response body that is buffered.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -142,7 +143,8 @@
             let Some(sender) = connection.sender() else {
                 return Err(failed(FailureKind::ConnectFailed));
             };
-            let timeout = deadline.saturating_sub(self.now());
+            let sent_at = self.now();
+            let timeout = deadline.saturating_sub(sent_at);
             let result = actix_rt::time::timeout(timeout, sender.try_send_request(outgoing)).await;
             let response = match result {
                 Err(_) => return Err(AttemptError::TimeUp),
@@ -164,7 +166,7 @@
             };
             let (parts, body) = response.into_parts();
             let head = http_headers::decode_server_response(parts.status.as_u16(), &parts.headers);
-            self.record_head(server, &head);
+            self.record_head(server, sent_at, &head);
             check_request_id(request, &head)?;
             return Ok(OpenResponse {
                 status: parts.status,
@@ -176,13 +178,22 @@
         }
     }
 
-    fn record_head(&self, server: &ServerName, head: &ServerHeaders) {
+    fn record_head(&self, server: &ServerName, sent_at: Timestamp, head: &ServerHeaders) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
         state.note_progress(now, server);
         if let Some(load) = head.load {
             state.note_report(now, server, load);
         }
+        // A rejection that names no limit does not tell whether the server still has one.
+        if head.not_run && head.rate_limit_per_s.is_none() {
+            return;
+        }
+        if state.note_limit(now, server, sent_at, head.rate_limit_per_s) {
+            let limit = head.rate_limit_per_s;
+            let limit = limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
+            LogEvent::ServerLimited.log(&[("server", server), ("limit_per_s", &limit)]);
+        }
     }
 
     /// Reads the body of a response and returns its connection to the pool.
--- a/crates/verbenahinge/src/gateway/peer_message.rs
+++ b/crates/verbenahinge/src/gateway/peer_message.rs
@@ -7,8 +7,8 @@
 
 use strum::IntoStaticStr;
 use verbenahinge_core::gateway::{
-    CrashRecord, Feed, FeedDelta, LoadReport, PartState, PeerDigest, PeerLoad, PrefillLoad,
-    RowChange, RowState, ServerDigest, StoreVersion,
+    CrashRecord, Feed, FeedDelta, LimitReport, LoadReport, PartState, PeerDigest, PeerLoad,
+    PrefillLoad, RowChange, RowState, ServerDigest, StoreVersion,
 };
 
 /// Purpose of a message to another VM; the metrics use it as a label.
@@ -50,6 +50,9 @@
     pub(super) servers: Vec<ServerMessage>,
     #[prost(message, repeated, tag = "5")]
     pub(super) crashes: Vec<CrashMessage>,
+    /// Rate limits of servers as the sender knows them.
+    #[prost(message, repeated, tag = "15")]
+    pub(super) limits: Vec<LimitMessage>,
     /// Versions of the sender's replicas.
     #[prost(message, repeated, tag = "8")]
     pub(super) feeds: Vec<FeedMessage>,
@@ -243,6 +246,49 @@
     pub(super) age_ms: u32,
 }
 
+/// Rate limit of one server, and the sender's demand for it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct LimitMessage {
+    /// Hash of the server's name.
+    #[prost(fixed64, tag = "1")]
+    pub(super) server: u64,
+    /// Thousandths of requests per second, 0 if the server has stopped naming a limit; absent if the
+    /// sender has seen no answer lately.
+    #[prost(uint64, optional, tag = "2")]
+    pub(super) limit_milli_per_s: Option<u64>,
+    /// Time since the sender saw that.
+    #[prost(uint32, tag = "3")]
+    pub(super) age_ms: u32,
+    #[prost(uint32, tag = "4")]
+    pub(super) demand: u32,
+}
+
+impl LimitMessage {
+    pub(super) fn from_report(report: LimitReport) -> Self {
+        let milli_per_s = Duration::try_from_secs_f64(report.limit_per_s.unwrap_or(0.0))
+            .map_or(u128::MAX, |milli| milli.as_millis());
+        Self {
+            server: report.server,
+            limit_milli_per_s: report
+                .is_observed
+                .then(|| u64::try_from(milli_per_s).unwrap_or(u64::MAX)),
+            age_ms: u32::try_from(report.age.as_millis()).unwrap_or(u32::MAX),
+            demand: report.demand,
+        }
+    }
+
+    pub(super) fn into_report(self) -> LimitReport {
+        let limit = self.limit_milli_per_s.filter(|&milli| milli > 0);
+        LimitReport {
+            server: self.server,
+            is_observed: self.limit_milli_per_s.is_some(),
+            limit_per_s: limit.map(|milli| Duration::from_millis(milli).as_secs_f64()),
+            age: Duration::from_millis(u64::from(self.age_ms)),
+            demand: self.demand,
+        }
+    }
+}
+
 impl PeerMessage {
     /// Creates a message from a digest.
     pub(super) fn new(digest: PeerDigest, feeds: Vec<FeedMessage>, addresses: Vec<u32>) -> Self {
--- a/crates/verbenahinge/src/gateway/peers.rs
+++ b/crates/verbenahinge/src/gateway/peers.rs
@@ -20,7 +20,7 @@
 use self::feeds::{feed_versions, handle_feed};
 use self::load::{PendingQuery, handle_query_or_reply, send_to_aggregators};
 pub(super) use self::load::{query_load, send_load};
-use super::peer_message::{MessageKind, PeerMessage, pack_ip, unpack_ip};
+use super::peer_message::{LimitMessage, MessageKind, PeerMessage, pack_ip, unpack_ip};
 use super::{Gateway, crash_store, watch};
 use crate::event_log::LogEvent;
 
@@ -157,7 +157,11 @@
         } else {
             Vec::new()
         };
-        let message = digest_message(&gateway, digest, &addresses);
+        let mut message = digest_message(&gateway, digest, &addresses);
+        if round.is_full {
+            let reports = gateway.state.borrow().limit_reports(now);
+            message.limits = reports.into_iter().map(LimitMessage::from_report).collect();
+        }
         send_to(&gateway, MessageKind::Digest, message, &round.receivers).await;
     }
 }
@@ -261,6 +265,12 @@
     if message.query_id > 0 {
         handle_query_or_reply(gateway, from, &mut message);
     }
+    let limits = std::mem::take(&mut message.limits);
+    let reports: Vec<_> = limits.into_iter().map(LimitMessage::into_report).collect();
+    gateway
+        .state
+        .borrow_mut()
+        .apply_limit_reports(now, message.vm, &reports);
     let mut digest = message.into_digest();
     let records = std::mem::take(&mut digest.crashes);
     crash_store::merge_records(gateway, &records, &from.to_string());
