fix(gateway): response bodies share a bounded amount of memory

All bodies that are being read now share an eighth of the VM's memory; one that does not fit fails its attempt as malformed, its connection is closed, and it no longer counts as a broken connection, which made the request a suspect of a crash. The testkit's VMs have the memory of the smallest VM, 88 MB instead of 256, which the test compares with.

--- a/crates/verbenahinge-emulator/src/scripted_server.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server.rs
@@ -60,6 +60,12 @@
     Stall,
     /// Exits the process while it executes the request.
     Crash,
+    /// Sends a header line that does not end, until the client closes the connection.
+    EndlessHead,
+    /// Sends a body that does not end, until the client closes the connection.
+    EndlessBody,
+    /// Sends an event of a stream that does not end, until the client closes the connection.
+    EndlessEvent,
 }
 
 /// Faults and timing of a server.
@@ -97,6 +103,8 @@
     pub last_event: u64,
     /// Whether the complete response was sent.
     pub is_complete: bool,
+    /// Whether the client closed the connection before an endless response ended.
+    pub was_closed: bool,
     /// Time of its arrival since the start of the server, in milliseconds.
     pub arrived_ms: u64,
 }
@@ -145,6 +153,16 @@
     }
 }
 
+/// Sends the start of a response and then one letter again and again, until the client closes.
+async fn send_endlessly(stream: &mut TcpStream, start: &[u8]) -> io::Result<()> {
+    /// Number of letters that are sent at a time.
+    const CHUNK_BYTES: usize = 16 << 10;
+    stream.write_all(start).await?;
+    let letters = vec![b'x'; CHUNK_BYTES];
+    while stream.write_all(&letters).await.is_ok() {}
+    Ok(())
+}
+
 impl ScriptedServer {
     async fn serve_connection(&self, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
@@ -241,6 +259,13 @@
                 stream.write_all(&response::failed(request)).await?;
                 return Ok(true);
             }
+            ServerFault::EndlessHead | ServerFault::EndlessBody | ServerFault::EndlessEvent => {
+                send_endlessly(stream, &response::endless_start(request, fault)).await?;
+                if let Some(executed) = self.executed_requests.borrow_mut().get_mut(record_index) {
+                    executed.was_closed = true;
+                }
+                return Ok(false);
+            }
             ServerFault::Garbage => {
                 stream.write_all(b"\x00\x01 not an answer\r\n\r\n").await?;
                 return Ok(false);
--- a/crates/verbenahinge-emulator/src/scripted_server/request.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/request.rs
@@ -39,6 +39,7 @@
             deadline_ms: self.deadline_ms,
             last_event: self.last_event,
             is_complete: false,
+            was_closed: false,
             arrived_ms: 0,
         }
     }
--- a/crates/verbenahinge-emulator/src/scripted_server/response.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/response.rs
@@ -2,6 +2,7 @@
 
 use verbenahinge_platform::http_headers;
 
+use super::ServerFault;
 use super::request::ParsedRequest;
 
 /// Final chunk of a chunked body.
@@ -64,6 +65,25 @@
     .into_bytes()
 }
 
+/// Start of a response whose head, body or first event does not end.
+pub(super) fn endless_start(request: &ParsedRequest, fault: ServerFault) -> Vec<u8> {
+    let signature = signature_header(request);
+    let (headers, start) = match fault {
+        ServerFault::EndlessEvent => {
+            let headers = format!("{signature}content-type: text/event-stream\r\n");
+            (headers, "id: 1\ndata: ")
+        }
+        _ => (signature, ""),
+    };
+    let mut head = response_head("200 OK", request, &headers);
+    if fault == ServerFault::EndlessHead {
+        // The blank line that ends the head is left out.
+        head.truncate(head.len() - 2);
+        head.push_str("endless: ");
+    }
+    format!("{head}{start}").into_bytes()
+}
+
 /// Response that states that the request was not executed.
 pub(super) fn not_executed(request: &ParsedRequest) -> Vec<u8> {
     let headers = format!("{}: 1\r\ncontent-length: 0\r\n", http_headers::NOT_RUN);
--- a/crates/verbenahinge-testkit/src/gateway_fleet.rs
+++ b/crates/verbenahinge-testkit/src/gateway_fleet.rs
@@ -21,6 +21,9 @@
 /// Timeout for a condition to hold.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Memory of the smallest VM of the deployments, in MB.
+const SMALLEST_VM_MB: u64 = 88;
+
 /// Interval between two checks.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -109,7 +112,7 @@
             seeds: vec![SocketAddr::new(seed, self.control_port)],
             store,
             bounds: Bounds::default(),
-            memory_mb: 256,
+            memory_mb: SMALLEST_VM_MB,
         };
         let settings_file = self.dir.join(format!("{}.conf", settings.name));
         std::fs::write(&settings_file, settings.to_string()).expect("failed to write the settings");
--- a/crates/verbenahinge-testkit/src/process.rs
+++ b/crates/verbenahinge-testkit/src/process.rs
@@ -137,6 +137,22 @@
         );
     }
 
+    /// Largest amount of memory that the process has used so far, in bytes.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the kernel does not tell.
+    #[must_use]
+    pub fn peak_memory_bytes(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("failed to read the process status");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kib = line.and_then(|line| line.trim().strip_suffix(" kB"));
+        kib.and_then(|kib| kib.parse::<u64>().ok())
+            .expect("the process status has no peak of memory")
+            * 1024
+    }
+
     /// Sends SIGTERM, which requests a shutdown.
     pub fn terminate(&self) {
         self.signal(Signal::TERM);
--- a/crates/verbenahinge/src/gateway.rs
+++ b/crates/verbenahinge/src/gateway.rs
@@ -17,6 +17,7 @@
 mod relay;
 mod request_handler;
 mod response;
+mod response_memory;
 mod shutdown;
 mod watch;
 
@@ -37,6 +38,7 @@
 use self::crash_store::CrashStore;
 use self::metrics::GatewayMetrics;
 use self::peers::Peers;
+use self::response_memory::ResponseMemory;
 use self::watch::Replicas;
 use crate::clock::Clock;
 use crate::event_log::LogEvent;
@@ -63,6 +65,7 @@
     pub(crate) peers: Peers,
     pub(crate) replicas: Replicas,
     pub(crate) crash_store: CrashStore,
+    pub(crate) response_memory: ResponseMemory,
     pub(crate) is_draining: Cell<bool>,
     pub(crate) requests_in_flight: Cell<usize>,
     /// Whether new requests are refused, because the process may exit before they complete.
@@ -160,6 +163,7 @@
     };
     let vm = rand::random();
     let state = GatewayState::new(vm, settings.availability_zone.clone(), settings.bounds);
+    let response_memory = ResponseMemory::new(settings.memory_mb);
     let clock = Clock::new();
     let peers = Peers::bind(clock.now(), &settings).await?;
     LogEvent::Started.log(&[
@@ -179,6 +183,7 @@
         peers,
         replicas: Replicas::new(),
         crash_store: CrashStore::new(),
+        response_memory,
         is_draining: Cell::new(false),
         requests_in_flight: Cell::new(0),
         is_closing: Cell::new(false),
--- a/crates/verbenahinge/src/gateway/attempt.rs
+++ b/crates/verbenahinge/src/gateway/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use verbenahinge_core::gateway::{Call, RouteKind, ServerChoice};
@@ -12,12 +12,10 @@
 use verbenahinge_platform::http_headers::{self, ForwardHeaders, ServerHeaders};
 
 use super::connection_pool::PooledConnection;
+use super::response_memory::ResponseBuffer;
 use super::{Gateway, peers};
 use crate::event_log::LogEvent;
 
-/// Maximum size of a response body that is buffered.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
-
 /// A request as the caller sent it, with its complete body.
 pub(crate) struct CallerRequest {
     pub(crate) id: Option<String>,
@@ -198,17 +196,29 @@
         }
     }
 
+    async fn read_body(&self, mut body: Incoming) -> Result<Bytes, AttemptError> {
+        let mut buffer = ResponseBuffer::new(&self.response_memory);
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| AttemptError::Failed(FailureKind::ConnectionLost))?;
+            if let Ok(data) = frame.into_data()
+                && !buffer.push(&data)
+            {
+                return Err(AttemptError::Failed(FailureKind::Malformed));
+            }
+        }
+        Ok(buffer.into_bytes())
+    }
+
     /// Reads the body of a response and returns its connection to the pool.
     pub(crate) async fn buffer_response(
         &self,
         response: OpenResponse,
         deadline: Timestamp,
     ) -> Result<BufferedResponse, AttemptError> {
-        let body = Limited::new(response.body, MAX_RESPONSE_BYTES).collect();
+        let body = self.read_body(response.body);
         let timeout = deadline.saturating_sub(self.now());
         let body = match actix_rt::time::timeout(timeout, body).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(_)) => return Err(AttemptError::Failed(FailureKind::ConnectionLost)),
+            Ok(body) => body?,
             Err(_) => return Err(AttemptError::TimeUp),
         };
         response
