test(soak): a request that crashes servers, and a server that names a limit

The soak sends a request that crashes each server that runs it through all VMs, beside all other faults (kills and restarts of VMs, the store away or back from an older copy, cut links). At the end every VM must refuse it, and no server may crash any more. Then a server names a limit of 2 a second, and three VMs under load may send it 17 requests in 4 s after 3 s. Limits are not checked while VMs are being killed or cut off.

--- a/crates/verbenahinge-testkit/src/gateway_fleet/emulators.rs
+++ b/crates/verbenahinge-testkit/src/gateway_fleet/emulators.rs
@@ -37,6 +37,11 @@
 impl GatewayFleet {
     /// Starts a backend server and registers it.
     pub async fn add_server(&mut self, id: &str, service: &str) {
+        self.add_server_with(id, service, &[]).await;
+    }
+
+    /// Starts a backend server with further command-line arguments and registers it.
+    pub async fn add_server_with(&mut self, id: &str, service: &str, more_args: &[&str]) {
         let address = free_address();
         let mut args: Vec<String> = vec!["emulate".to_owned(), "server".to_owned()];
         for (flag, value) in [("--listen", address.to_string()), ("--id", id.to_owned())] {
@@ -44,6 +49,7 @@
             args.push(value);
         }
         args.extend(self.server_args.iter().cloned());
+        args.extend(more_args.iter().map(|&arg| arg.to_owned()));
         let process = Process::start(&self.bin, &args, address);
         let entry = ServerEntry::new(id, service, address)
             .availability_zone("a")
--- a/crates/verbenahinge/tests/fault_soak.rs
+++ b/crates/verbenahinge/tests/fault_soak.rs
@@ -12,6 +12,7 @@
 mod rng;
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -32,6 +33,25 @@
 /// Distinguishes the random numbers of faults that were added later.
 const EXTRA_FAULTS: u64 = 0x6572_6173;
 
+/// Pause between two requests that crash servers.
+const CRASHING_PAUSE: Duration = Duration::from_millis(200);
+
+/// Limit that a server names, in requests per second.
+const LIMIT_PER_S: f64 = 2.0;
+
+/// Time after which the limit holds.
+const LIMIT_SETTLE_TIME: Duration = Duration::from_secs(3);
+
+/// Window over which requests to the limited server are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
+/// Requests that the limited server may get in the window: one and a half times what the limit allows,
+/// and 5.
+const MAX_LIMITED: usize = 17;
+
+/// Pause between two requests of a caller while a server is limited.
+const LIMITED_PAUSE: Duration = Duration::from_millis(50);
+
 /// Number of faults per seed. They begin one after the other and overlap.
 const FAULT_COUNT: u64 = 16;
 
@@ -71,6 +91,11 @@
             run_caller(caller, seed, &vm_addresses, &exchanges, &is_finished).await;
         }));
     }
+    callers.push(actix_rt::spawn(send_crashing_requests(
+        vm_addresses.clone(),
+        seed,
+        Rc::clone(&is_finished),
+    )));
     let mut fault_log = Vec::new();
     for _ in 0..FAULT_COUNT {
         fault_log.push(soak.inject_fault(&rng).await);
@@ -79,12 +104,16 @@
         }
         actix_rt::time::sleep(Duration::from_millis(50 + rng.below(500))).await;
         soak.clear_faults(&rng, false).await;
+        soak.restart_fragile_servers().await;
     }
     soak.clear_faults(&rng, true).await;
     is_finished.set(true);
     join_all(callers).await;
     let mut violations = wait_for_recovery(&mut soak, seed).await;
     violations.extend(check_config(&soak).await);
+    soak.finish_shutdowns().await;
+    violations.extend(check_quarantine(&mut soak).await);
+    violations.extend(check_limit(&soak, seed).await);
     violations.extend(check_departure(&mut soak, rng.index(SERVER_COUNT)).await);
     // Requests that were forwarded before their caller disconnected may still be running.
     actix_rt::time::sleep(Duration::from_millis(500)).await;
@@ -167,6 +196,103 @@
     violations
 }
 
+/// Request that crashes each server that runs it.
+fn crashing_request(id: String) -> GatewayRequest {
+    GatewayRequest::new(id, "/fragile/x")
+}
+
+/// Sends a request that crashes servers again and again, through all VMs.
+async fn send_crashing_requests(
+    vm_addresses: Vec<SocketAddr>,
+    seed: u64,
+    is_finished: Rc<Cell<bool>>,
+) {
+    let mut count = 0;
+    while !is_finished.get() {
+        count += 1;
+        let address = vm_addresses[count % vm_addresses.len()];
+        let request = crashing_request(format!("{seed}-crashing-{count}"));
+        let call = async {
+            if let Ok(mut caller) = CallerConnection::open(address).await {
+                // The VM may be down; only the state at the end counts.
+                drop(caller.call(&request).await);
+            }
+        };
+        drop(actix_rt::time::timeout(Duration::from_secs(3), call).await);
+        actix_rt::time::sleep(CRASHING_PAUSE).await;
+    }
+}
+
+/// Waits until every VM refuses the request that crashes servers; from then on, no server must crash.
+async fn check_quarantine(soak: &mut SoakFleet) -> Vec<String> {
+    let mut violations = Vec::new();
+    for vm in 0..usize::from(VM_COUNT) {
+        let started = Instant::now();
+        while !is_refused(soak, vm).await {
+            soak.restart_fragile_servers().await;
+            if started.elapsed() > RECOVERY_TIMEOUT {
+                violations.push(format!("VM {vm} still runs a request that crashes servers"));
+                break;
+            }
+            actix_rt::time::sleep(CRASHING_PAUSE).await;
+        }
+    }
+    // Crashes that came before the refusals of all VMs.
+    soak.restart_fragile_servers().await;
+    for vm in 0..usize::from(VM_COUNT) {
+        if !is_refused(soak, vm).await {
+            violations.push(format!("VM {vm} runs a quarantined request"));
+        }
+    }
+    let crashed = soak.restart_fragile_servers().await;
+    if crashed > 0 {
+        violations.push(format!("{crashed} servers crashed after the quarantine"));
+    }
+    violations
+}
+
+async fn is_refused(soak: &SoakFleet, vm: usize) -> bool {
+    let request = crashing_request(format!("refused-{vm}"));
+    let response = soak.fleet.call(vm, &request).await;
+    response.status == 503 && response.body.contains("is not run again")
+}
+
+/// Lets a server name a limit, and returns a violation if the VMs together exceed it.
+async fn check_limit(soak: &SoakFleet, seed: u64) -> Vec<String> {
+    let limited = ServerFaults {
+        work_ms: 5,
+        events: STREAM_EVENTS,
+        limit_per_s: LIMIT_PER_S,
+        ..ServerFaults::default()
+    };
+    soak.fleet.set_server_faults(0, &limited).await;
+    let before = soak.fleet.runs(0).await.len();
+    let callers = (0..usize::from(VM_COUNT)).map(|vm| async move {
+        let started = Instant::now();
+        let mut count = 0;
+        while started.elapsed() < LIMIT_SETTLE_TIME + LIMIT_WINDOW {
+            count += 1;
+            let id = format!("{seed}-limited-{vm}-{count}");
+            soak.fleet
+                .call(vm, &GatewayRequest::new(id, "/read/x"))
+                .await;
+            actix_rt::time::sleep(LIMITED_PAUSE).await;
+        }
+    });
+    join_all(callers).await;
+    let runs = soak.fleet.runs(0).await.split_off(before);
+    let first_ms = runs.iter().map(|run| run.arrived_ms).min().unwrap_or(0);
+    let settled_ms = u128::from(first_ms) + LIMIT_SETTLE_TIME.as_millis();
+    let counted = runs
+        .iter()
+        .filter(|run| u128::from(run.arrived_ms) >= settled_ms)
+        .count();
+    if counted > MAX_LIMITED {
+        return vec![format!("{counted} requests to a limited server")];
+    }
+    Vec::new()
+}
+
 /// Removes the entry of a server that never drained, and returns a violation for each VM that
 /// counts it as lapsed, though the store is available.
 async fn check_departure(soak: &mut SoakFleet, server: usize) -> Vec<String> {
--- a/crates/verbenahinge/tests/fault_soak/fleet.rs
+++ b/crates/verbenahinge/tests/fault_soak/fleet.rs
@@ -17,6 +17,9 @@
 
 pub(crate) const SERVER_COUNT: usize = 4;
 
+/// Servers that crash when they run a request; they follow the others in the fleet.
+const FRAGILE_COUNT: usize = 3;
+
 /// A gateway fleet with proxies that inject network faults.
 pub(crate) struct SoakFleet {
     pub(crate) fleet: GatewayFleet,
@@ -25,6 +28,8 @@
     config_version: u64,
     /// Entry of each server as it was last written.
     entries: Vec<ServerEntry>,
+    /// Starts of the fragile servers so far, by which their entries differ.
+    fragile_starts: u64,
 }
 
 impl SoakFleet {
@@ -43,6 +48,12 @@
             server_proxies.push(proxy);
             entries.push(entry);
         }
+        for index in 0..FRAGILE_COUNT {
+            let id = format!("fragile-{index}");
+            fleet
+                .add_server_with(&id, "fragile", &["--fault", "crash"])
+                .await;
+        }
         let store_proxy = Proxy::start(fleet.store_address()).await;
         fleet.add_vm_with_store(store_proxy.address());
         fleet.wait_until_ready(usize::from(VM_COUNT) - 1).await;
@@ -52,6 +63,7 @@
             store_proxy,
             config_version: 7,
             entries,
+            fragile_starts: 1,
         }
     }
 
@@ -203,6 +215,25 @@
         }
     }
 
+    /// Starts fragile servers again that have crashed; returns how many.
+    pub(crate) async fn restart_fragile_servers(&mut self) -> usize {
+        let mut crashed = 0;
+        for server in SERVER_COUNT..SERVER_COUNT + FRAGILE_COUNT {
+            if !self.fleet.server_process(server).has_exited() {
+                continue;
+            }
+            crashed += 1;
+            self.fleet.server_process(server).restart();
+            self.fragile_starts += 1;
+            let entry = ServerEntry {
+                started_unix_ms: Some(self.fragile_starts),
+                ..self.fleet.server_entry(server)
+            };
+            self.fleet.register(&entry).await;
+        }
+        crashed
+    }
+
     /// Waits until VMs that are shutting down have exited, and restarts them.
     pub(crate) async fn finish_shutdowns(&mut self) {
         for vm in 0..usize::from(VM_COUNT) {
