--- a/crates/verbenahinge-core/src/gateway.rs
+++ b/crates/verbenahinge-core/src/gateway.rs
@@ -24,6 +24,7 @@
 mod state;
 mod store_contact;
 mod store_version;
+mod table_replica;
 
 pub use self::backend::{Backend, LoadReport, PeerLoad, PrefillLoad};
 pub use self::bounds::Bounds;
@@ -31,7 +32,7 @@
 pub use self::crash_guard::CrashGuard;
 pub use self::crash_record::CrashRecord;
 pub use self::feed::{
-    Feed, FeedDelta, RowChange, RowState, StoreRow, TableReplica, watch_timeout, watches_store,
+    Feed, FeedDelta, RowChange, RowState, StoreRow, watch_timeout, watches_store,
 };
 pub use self::members::{DIGEST_INTERVAL, GossipRound, Members, address_number};
 pub use self::part_cache::{PartCache, PartState};
@@ -48,3 +49,4 @@
 pub use self::state::{GatewayState, LimitReport, PeerDigest, ServerDigest};
 pub use self::store_contact::{REREGISTER_GRACE, StoreContact, StoreGap};
 pub use self::store_version::StoreVersion;
+pub use self::table_replica::TableReplica;
--- a/crates/verbenahinge-core/src/gateway/state.rs
+++ b/crates/verbenahinge-core/src/gateway/state.rs
@@ -1,5 +1,6 @@
 //! State of one gateway VM and the routing decisions based on it.
 
+mod crashes;
 mod demand;
 mod limits;
 mod peer_digest;
@@ -19,7 +20,7 @@
     ServerState, ServiceName,
 };
 use crate::hash::hash64;
-use crate::{ConfigVersion, FailureKind, Fingerprint, ServerName, Timestamp, VmId, ZoneName};
+use crate::{ConfigVersion, FailureKind, ServerName, Timestamp, VmId, ZoneName};
 
 /// Delay after which a less urgent request may use what the servers' limits leave.
 const LIMIT_YIELD_DELAY: Duration = Duration::from_secs(1);
@@ -387,33 +388,4 @@
             .get_mut(server)
             .is_some_and(|backend| backend.note_failure(now, kind))
     }
-
-    /// Records that a server crashed while it ran a request; returns whether the crash is new.
-    pub fn note_crash(&mut self, now: Timestamp, server: &str, fingerprint: Fingerprint) -> bool {
-        let started = self
-            .registry
-            .get(server)
-            .and_then(|entry| entry.started_unix_ms);
-        // Without a reported start time, all crashes of a server name count as one.
-        let crash = crate::hash::mix64(hash64(server.as_bytes()), started.unwrap_or(0));
-        self.crash_guard.note_crash(now, fingerprint, crash)
-    }
-
-    /// Records that a request ran to completion; returns whether that dropped a crash record.
-    pub fn note_completed(&mut self, fingerprint: Fingerprint) -> bool {
-        self.crash_guard.note_completed(fingerprint)
-    }
-
-    /// Whether a request may run again after an attempt that ended in `kind`; see
-    /// [`CrashGuard::allows_retry`].
-    #[must_use]
-    pub fn allows_retry(&self, fingerprint: Fingerprint, kind: FailureKind) -> bool {
-        self.crash_guard.allows_retry(fingerprint, kind)
-    }
-
-    /// Whether a request must not run again.
-    #[must_use]
-    pub fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
-        self.crash_guard.is_quarantined(fingerprint)
-    }
 }
--- a/crates/verbenahinge-core/src/gateway/state/peer_digest.rs
+++ b/crates/verbenahinge-core/src/gateway/state/peer_digest.rs
@@ -98,34 +98,6 @@
         }
     }
 
-    /// Adds crash records of another VM or of the store; returns the fingerprints for which they name
-    /// new crashes.
-    pub fn merge_crash_records(
-        &mut self,
-        now: Timestamp,
-        records: &[CrashRecord],
-    ) -> Vec<Fingerprint> {
-        let mut learned = Vec::new();
-        for record in records {
-            if self.crash_guard.merge(now, record) {
-                learned.push(record.fingerprint);
-            }
-        }
-        learned
-    }
-
-    /// Latest crash records, to be sent to other VMs.
-    #[must_use]
-    pub fn recent_crash_records(&self, now: Timestamp) -> Vec<CrashRecord> {
-        self.crash_guard.recent_records(now)
-    }
-
-    /// Records of all quarantined requests.
-    #[must_use]
-    pub fn quarantined_records(&self, now: Timestamp) -> Vec<CrashRecord> {
-        self.crash_guard.quarantined_records(now)
-    }
-
     /// Removes a VM that has shut down, with the load that it reported.
     pub fn forget_peer(&mut self, vm: VmId) {
         self.peers.remove(&vm);
--- a/crates/verbenahinge/src/gateway/peer_message.rs
+++ b/crates/verbenahinge/src/gateway/peer_message.rs
@@ -1,16 +1,21 @@
 //! Wire format of the messages between VMs: load on backend servers, crashes, table versions and
 //! addresses of VMs.
 
+mod feed_message;
+mod limit_message;
+
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr};
 use std::time::Duration;
 
 use strum::IntoStaticStr;
 use verbenahinge_core::gateway::{
-    CrashRecord, Feed, FeedDelta, LimitReport, LoadReport, PartState, PeerDigest, PeerLoad,
-    PrefillLoad, RowChange, RowState, ServerDigest, StoreVersion,
+    CrashRecord, LoadReport, PartState, PeerDigest, PeerLoad, PrefillLoad, ServerDigest,
 };
 
+pub(super) use self::feed_message::{DeltaMessage, FeedMessage, feed_from_number, feed_number};
+pub(super) use self::limit_message::LimitMessage;
+
 /// Purpose of a message to another VM; the metrics use it as a label.
 #[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "snake_case")]
@@ -98,119 +103,6 @@
     pub(super) is_shutting_down: bool,
 }
 
-/// Version of one replica, with an optional delta.
-#[derive(Clone, PartialEq, prost::Message)]
-pub(super) struct FeedMessage {
-    /// Number of the table; see [`feed_number`].
-    #[prost(uint32, tag = "1")]
-    pub(super) feed: u32,
-    #[prost(uint64, tag = "2")]
-    pub(super) version: u64,
-    /// Era of the store that the version belongs to.
-    #[prost(uint64, tag = "5")]
-    pub(super) era: u64,
-    /// Time since the replica was last known to be up to date.
-    #[prost(uint32, tag = "3")]
-    pub(super) age_ms: u32,
-    /// Latest changes, if they are small.
-    #[prost(message, optional, tag = "4")]
-    pub(super) delta: Option<DeltaMessage>,
-}
-
-/// Row changes between two versions of a table.
-#[derive(Clone, PartialEq, prost::Message)]
-pub(super) struct DeltaMessage {
-    #[prost(uint64, optional, tag = "1")]
-    pub(super) base: Option<u64>,
-    #[prost(uint64, tag = "2")]
-    pub(super) version: u64,
-    #[prost(message, repeated, tag = "3")]
-    pub(super) rows: Vec<RowMessage>,
-    /// Era of the store that `base` belongs to.
-    #[prost(uint64, tag = "4")]
-    pub(super) base_era: u64,
-    /// Era of the store that `version` belongs to.
-    #[prost(uint64, tag = "5")]
-    pub(super) era: u64,
-}
-
-/// Change of one row.
-#[derive(Clone, PartialEq, prost::Message)]
-pub(super) struct RowMessage {
-    #[prost(string, tag = "1")]
-    pub(super) key: String,
-    #[prost(bytes = "vec", optional, tag = "2")]
-    pub(super) value: Option<Vec<u8>>,
-    /// Whether a row without a value is lapsed, so that it may come back, rather than removed.
-    #[prost(bool, tag = "3")]
-    pub(super) is_lapsed: bool,
-}
-
-impl DeltaMessage {
-    /// Converts a delta to its wire format.
-    pub(super) fn from_delta(delta: FeedDelta) -> Self {
-        let mut rows = Vec::new();
-        for row in delta.rows {
-            let (value, is_lapsed) = match row.state {
-                RowState::Present(value) => (Some(value.to_vec()), false),
-                RowState::Removed => (None, false),
-                RowState::Lapsed => (None, true),
-            };
-            rows.push(RowMessage {
-                key: row.key,
-                value,
-                is_lapsed,
-            });
-        }
-        Self {
-            base: delta.base.map(|base| base.number),
-            version: delta.version.number,
-            rows,
-            base_era: delta.base.map_or(0, |base| base.era),
-            era: delta.version.era,
-        }
-    }
-
-    /// Converts the wire format back to a delta.
-    pub(super) fn into_delta(self) -> FeedDelta {
-        let mut rows = Vec::new();
-        for row in self.rows {
-            let state = match (row.value, row.is_lapsed) {
-                (Some(value), _) => RowState::Present(value.into()),
-                (None, true) => RowState::Lapsed,
-                (None, false) => RowState::Removed,
-            };
-            rows.push(RowChange {
-                key: row.key,
-                state,
-            });
-        }
-        let base_era = self.base_era;
-        FeedDelta {
-            base: self.base.map(|number| StoreVersion::new(base_era, number)),
-            version: StoreVersion::new(self.era, self.version),
-            rows,
-        }
-    }
-}
-
-/// Number of a table on the wire.
-pub(super) const fn feed_number(feed: Feed) -> u32 {
-    match feed {
-        Feed::Config => 1,
-        Feed::Servers => 2,
-    }
-}
-
-/// Table with a number on the wire; `None` if this software version does not know it.
-pub(super) const fn feed_from_number(number: u32) -> Option<Feed> {
-    match number {
-        1 => Some(Feed::Config),
-        2 => Some(Feed::Servers),
-        _ => None,
-    }
-}
-
 /// Load on one backend server.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(super) struct ServerMessage {
@@ -261,49 +153,6 @@
     pub(super) age_ms: u32,
 }
 
-/// Rate limit of one server, and the sender's demand for it.
-#[derive(Clone, PartialEq, prost::Message)]
-pub(super) struct LimitMessage {
-    /// Hash of the server's name.
-    #[prost(fixed64, tag = "1")]
-    pub(super) server: u64,
-    /// Thousandths of requests per second, 0 if the server has stopped naming a limit; absent if the
-    /// sender has seen no answer lately.
-    #[prost(uint64, optional, tag = "2")]
-    pub(super) limit_milli_per_s: Option<u64>,
-    /// Time since the sender saw that.
-    #[prost(uint32, tag = "3")]
-    pub(super) age_ms: u32,
-    #[prost(uint32, tag = "4")]
-    pub(super) demand: u32,
-}
-
-impl LimitMessage {
-    pub(super) fn from_report(report: LimitReport) -> Self {
-        let milli_per_s = Duration::try_from_secs_f64(report.limit_per_s.unwrap_or(0.0))
-            .map_or(u128::MAX, |milli| milli.as_millis());
-        Self {
-            server: report.server,
-            limit_milli_per_s: report
-                .is_observed
-                .then(|| u64::try_from(milli_per_s).unwrap_or(u64::MAX)),
-            age_ms: u32::try_from(report.age.as_millis()).unwrap_or(u32::MAX),
-            demand: report.demand,
-        }
-    }
-
-    pub(super) fn into_report(self) -> LimitReport {
-        let limit = self.limit_milli_per_s.filter(|&milli| milli > 0);
-        LimitReport {
-            server: self.server,
-            is_observed: self.limit_milli_per_s.is_some(),
-            limit_per_s: limit.map(|milli| Duration::from_millis(milli).as_secs_f64()),
-            age: Duration::from_millis(u64::from(self.age_ms)),
-            demand: self.demand,
-        }
-    }
-}
-
 impl PeerMessage {
     /// Creates a message from a digest.
     pub(super) fn new(digest: PeerDigest, feeds: Vec<FeedMessage>, addresses: Vec<u32>) -> Self {
