fix(gateway): all VMs write their addresses again in a new era, not only those that watch

Operators would see: after the store returned from an older copy, a fleet above 16 VMs keeps the addresses of its five watchers there; once these are gone, a VM with stale seeds finds nobody. Cause: the era was noticed in the watch of the store only.

--- a/crates/verbenahinge/src/gateway.rs
+++ b/crates/verbenahinge/src/gateway.rs
@@ -249,6 +249,10 @@
         let next_expiry = gateway.state.borrow().registry().next_expiry();
         let pause = next_expiry.map_or(EXPIRY_INTERVAL, |at| at.saturating_sub(gateway.now()));
         actix_rt::time::sleep(pause.min(EXPIRY_INTERVAL)).await;
+        // VMs that don't watch the store hear of a new era from others.
+        if gateway.peers.is_registered() {
+            watch::renew_rows(&gateway);
+        }
         let now = gateway.now();
         let lost_after = gateway.peers.lost_after();
         let expired = gateway.state.borrow_mut().tick(now, lost_after);
--- a/crates/verbenahinge/src/gateway/peers.rs
+++ b/crates/verbenahinge/src/gateway/peers.rs
@@ -16,6 +16,7 @@
 use tokio::sync::oneshot;
 use verbenahinge_core::Timestamp;
 use verbenahinge_core::gateway::{DIGEST_INTERVAL, Members, PeerDigest, ServerDigest};
+use verbenahinge_core::hash::jitter;
 use verbenahinge_platform::node_file::VmSettings;
 
 pub(super) use self::feeds::{encode_feed, fetch_delta, fetch_feed, push_change};
@@ -35,6 +36,9 @@
 /// its connections at the same moment.
 const CRASH_PUSH_DELAY: Duration = Duration::from_millis(10);
 
+/// Time over which the VMs of a fleet spread their writes in a new era of the store.
+const REGISTRATION_SPREAD: Duration = Duration::from_secs(3);
+
 /// Most crash records in a reply to a VM that starts, which fit into one datagram.
 const MAX_WELCOME_RECORDS: usize = 32;
 
@@ -106,6 +110,11 @@
         self.members.borrow().lost_after()
     }
 
+    /// Whether this VM has begun to write its address to the store.
+    pub(crate) fn is_registered(&self) -> bool {
+        self.registered_era.get().is_some()
+    }
+
     fn new_query_id(&self) -> u64 {
         let id = self.last_query_id.get() + 1;
         self.last_query_id.set(id);
@@ -188,17 +197,18 @@
     message
 }
 
-/// Writes the address of this VM to the store, once for each era, after it has read a table as a
-/// watcher: a store that has returned from an older copy may have lost it.
+/// Writes the address of this VM to the store, once for each era.
 pub(super) fn register_in_era(gateway: &Rc<Gateway>, era: u64) {
-    let registered_era = &gateway.peers.registered_era;
-    if registered_era
-        .get()
-        .is_none_or(|registered| registered < era)
-    {
-        registered_era.set(Some(era));
-        actix_rt::spawn(watch::register_address(Rc::clone(gateway)));
+    let old = gateway.peers.registered_era.get();
+    if old.is_some_and(|old| old >= era) {
+        return;
     }
+    gateway.peers.registered_era.set(Some(era));
+    let delay = match old {
+        None => Duration::ZERO,
+        Some(_) => jitter(rand::random(), REGISTRATION_SPREAD),
+    };
+    actix_rt::spawn(watch::register_address(Rc::clone(gateway), delay));
 }
 
 /// Tells all known VMs that this one is shutting down.
--- a/crates/verbenahinge/src/gateway/watch.rs
+++ b/crates/verbenahinge/src/gateway/watch.rs
@@ -169,11 +169,9 @@
                 let heartbeat = gateway.settings.borrow().bounds.server_heartbeat;
                 let gap = health.record_success(now, age, heartbeat);
                 needs_snapshot = false;
-                let era = rows.era;
                 let is_ignored = response_log.record_rows(&gateway, feed, &rows);
                 apply_store_rows(&gateway, feed, rows, is_snapshot, gap);
-                peers::register_in_era(&gateway, era);
-                crash_store::note_era(&gateway, era);
+                renew_rows(&gateway);
                 if is_ignored {
                     actix_rt::time::sleep(IGNORED_RESPONSE_PAUSE).await;
                 }
@@ -187,6 +185,18 @@
     }
 }
 
+/// Writes the rows of this VM to the store, at the start and in each era: a store that has returned
+/// from an older copy may have lost them.
+pub(super) fn renew_rows(gateway: &Rc<Gateway>) {
+    let version = gateway
+        .replicas
+        .with(Feed::Servers, |replica| replica.applied_until());
+    if let Some(version) = version {
+        peers::register_in_era(gateway, version.era);
+        crash_store::note_era(gateway, version.era);
+    }
+}
+
 /// Reads the changes of a table since the replica's version, or a snapshot if there is none or
 /// `needs_snapshot` is set; the flag tells whether the rows are a snapshot.
 async fn read_store(
@@ -314,7 +324,8 @@
 }
 
 /// Writes the address of this VM to the store, so that VMs with stale seeds find it.
-pub(super) async fn register_address(gateway: Rc<Gateway>) {
+pub(super) async fn register_address(gateway: Rc<Gateway>, delay: Duration) {
+    actix_rt::time::sleep(delay).await;
     let (address, ip) = {
         let settings = gateway.settings.borrow();
         (settings.store, settings.ip)
--- a/crates/verbenahinge/tests/store_rollback.rs
+++ b/crates/verbenahinge/tests/store_rollback.rs
@@ -159,16 +159,26 @@
 /// Guards against VMs that nobody finds any more, because the store has forgotten their addresses.
 #[actix_rt::test]
 async fn addresses_lost_by_rollback() {
-    let fleet = start(2).await;
-    let started = Instant::now();
-    while fleet.store_keys(VM_TABLE).await.len() < 2 {
-        assert!(started.elapsed() < REWRITE_TIMEOUT, "addresses are missing");
-        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    // In a fleet of 18, most VMs don't watch the store.
+    for vms in [2, 18] {
+        let fleet = start(vms).await;
+        wait_for_addresses(&fleet, usize::from(vms)).await;
+        fleet.roll_back_store(1).await;
+        wait_for_addresses(&fleet, usize::from(vms)).await;
     }
-    fleet.roll_back_store(1).await;
+}
+
+async fn wait_for_addresses(fleet: &GatewayFleet, vms: usize) {
     let started = Instant::now();
-    while fleet.store_keys(VM_TABLE).await.len() < 2 {
-        assert!(started.elapsed() < REWRITE_TIMEOUT, "addresses are lost");
+    loop {
+        let listed = fleet.store_keys(VM_TABLE).await.len();
+        if listed == vms {
+            return;
+        }
+        assert!(
+            started.elapsed() < REWRITE_TIMEOUT,
+            "the store has the addresses of {listed} of {vms} VMs"
+        );
         actix_rt::time::sleep(Duration::from_millis(20)).await;
     }
 }
