fix(gateway): a limit of zero ends, and requests that get no permit don't count as admitted

Callers would see, at a server that names a limit of 0: it is never used again, though it has stopped naming it, since no request can tell (zero_limits_end failed before, 115 refusals after two minutes). The smallest limit that is kept is one request in ten seconds. Found while reading the change as a newcomer: less urgent requests in a large fleet counted as admitted before they were refused a permit, so they would have yielded without end; admission now counts when a request is sent. The time until the next share is cut to what the caller has left, as it is unbounded without allowance.

--- a/crates/verbenahinge-core/src/gateway/backend/rate_limiter.rs
+++ b/crates/verbenahinge-core/src/gateway/backend/rate_limiter.rs
@@ -13,6 +13,9 @@
 /// Longest time over which a VM outside the server's group counts its chance to send.
 const MAX_CHANCE_TIME: Duration = Duration::from_secs(1);
 
+/// Smallest limit that is kept, so that a request now and then tells when the limit ends.
+const MIN_LIMIT_PER_S: f64 = 0.1;
+
 /// Limit that a server named, or that it had stopped naming one.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Observation {
@@ -73,7 +76,8 @@
 
     /// Requests per second that the server takes from all VMs together; `None` if any number.
     pub(in crate::gateway) fn limit_per_s(&self) -> Option<f64> {
-        self.latest()?.limit_per_s
+        let limit_per_s = self.latest()?.limit_per_s?;
+        Some(limit_per_s.max(MIN_LIMIT_PER_S))
     }
 
     /// Records an answer to a request that was sent at `sent_at`.
--- a/crates/verbenahinge-core/src/gateway/state.rs
+++ b/crates/verbenahinge-core/src/gateway/state.rs
@@ -247,8 +247,9 @@
         }
         let candidates = self.candidates(call, tried);
         let choice = self.placement_context(now, call).choose(call, &candidates);
-        let is_refused = matches!(choice, Err(PlacementError::Limited(_)));
-        self.note_limited(now, call, is_refused);
+        if matches!(choice, Err(PlacementError::Limited(_))) {
+            self.note_limited(now, call, true);
+        }
         choice
     }
 
@@ -263,6 +264,9 @@
         call: &Call,
         queried: &[ServerName],
     ) -> Result<ServerChoice, PlacementError> {
+        if self.yields_limited(now, call) {
+            return Err(PlacementError::Limited(LIMIT_YIELD_DELAY));
+        }
         let context = self.placement_context(now, call);
         let order = self.registry.order(&call.service);
         let interactive_group =
@@ -339,6 +343,7 @@
         if let Some(backend) = self.backends.get_mut(&choice.server) {
             backend.note_sent(now, call, choice.prefill_cost, choice.interactive);
         }
+        self.note_limited(now, call, false);
     }
 
     /// Records the first token of a request.
--- a/crates/verbenahinge-core/src/gateway/state/limits.rs
+++ b/crates/verbenahinge-core/src/gateway/state/limits.rs
@@ -143,7 +143,7 @@
         Some(LimitReport {
             server,
             is_observed: own.is_some(),
-            limit_per_s,
+            limit_per_s: limit_per_s.and(limiter.limit_per_s()),
             age,
             demand: self.demand_for(now, id),
         })
--- a/crates/verbenahinge-core/tests/limit_sharing.rs
+++ b/crates/verbenahinge-core/tests/limit_sharing.rs
@@ -356,3 +356,20 @@
     assert!(served[0] >= 60, "{served:?}");
     assert!((5..=20).contains(&served[1]), "{served:?}");
 }
+
+/// Guards against a limit of zero, under which no request would ever tell that it has ended.
+#[test]
+fn zero_limits_end() {
+    for size in [1, 9] {
+        let mut fleet = Fleet::new(size, 1, Some(0.0));
+        fleet.run_for(SETTLE_TIME, 40.0, Spread::Even);
+        fleet.sent.clear();
+        fleet.run_for(WINDOW, 40.0, Spread::Even);
+        assert!(fleet.most_in_window() <= 5, "{}", fleet.most_in_window());
+        fleet.limit_per_s = None;
+        fleet.run_for(Duration::from_mins(2), 40.0, Spread::Even);
+        fleet.refused = 0;
+        fleet.run_for(SETTLE_TIME, 40.0, Spread::Even);
+        assert_eq!(fleet.refused, 0, "{size} VMs");
+    }
+}
--- a/crates/verbenahinge/src/gateway/request_handler/final_response.rs
+++ b/crates/verbenahinge/src/gateway/request_handler/final_response.rs
@@ -38,7 +38,7 @@
     pub(crate) fn respond_unplaced(self, reason: PlacementError) -> CallerResponse {
         let excess = match reason {
             PlacementError::NoServer => NO_SERVER_RETRY_DELAY,
-            PlacementError::Limited(wait) => wait,
+            PlacementError::Limited(wait) => wait.min(self.call.time_left(self.gateway.now())),
             PlacementError::TooLate(wait) | PlacementError::Yields(wait) => {
                 wait.saturating_sub(self.call.route.latency_target)
             }
