--- a/crates/verbenahinge/src/gateway/crash_store.rs
+++ b/crates/verbenahinge/src/gateway/crash_store.rs
@@ -125,7 +125,9 @@
     let mut records = Vec::new();
     let mut expired = Vec::new();
     for row in store.read_table(QUARANTINE_TABLE).await?.rows {
-        let value = row.value.unwrap_or_default();
+        let Some(value) = row.value else {
+            continue;
+        };
         match quarantine::decode(now, &row.key, &value) {
             Ok(record) if record.age >= RECORD_TTL => expired.push(row.key),
             Ok(record) => {
--- a/crates/verbenahinge/src/request_report.rs
+++ b/crates/verbenahinge/src/request_report.rs
@@ -149,8 +149,9 @@
 }
 
 /// Returns whether an event explains what the VM knew or whether it was serving: the request's
-/// configuration version came into force, a configuration was unreadable, the platform became
-/// unavailable or available, or the process changed its state or settings.
+/// configuration version came into force, a configuration was unreadable or outdated, the platform
+/// became unavailable or available or returned from an older copy, or the process changed its state or
+/// settings.
 fn affects_vm(line: &LogLine, config: Option<&str>) -> bool {
     match line.name() {
         "config_in_force" => config.is_some() && line.field("version") == config,
@@ -161,6 +162,9 @@
         | "task_restarted"
         | "reloaded"
         | "reload_failed"
+        | "store_era_changed"
+        | "store_response_ignored"
+        | "config_outdated"
         | "config_unreadable" => true,
         _ => false,
     }
--- a/crates/verbenahinge/tests/fault_soak.rs
+++ b/crates/verbenahinge/tests/fault_soak.rs
@@ -2,7 +2,7 @@
 //! against the guarantees to callers.
 //!
 //! `SOAK_SEEDS=100..150 cargo test -p verbenahinge --test fault_soak` runs other seeds than the
-//! default ones. Seeds that failed once are listed in `data/soak_seeds.txt` with their cause.
+//! default ones; `SOAK_VMS=24` starts more VMs than three. Seeds that failed once are listed in `data/soak_seeds.txt` with their cause.
 
 #[path = "fault_soak/callers.rs"]
 mod callers;
@@ -23,7 +23,7 @@
 use verbenahinge_testkit::{CallerConnection, GatewayRequest};
 
 use self::callers::{STREAM_EVENTS, find_violation, run_caller};
-use self::fleet::{SERVER_COUNT, SoakFleet, VM_COUNT};
+use self::fleet::{SERVER_COUNT, SoakFleet};
 use self::rng::SeededRng;
 
 const REGRESSION_SEEDS: &str = include_str!("data/soak_seeds.txt");
@@ -33,6 +33,12 @@
 /// Distinguishes the random numbers of faults that were added later.
 const EXTRA_FAULTS: u64 = 0x6572_6173;
 
+/// Largest fleet in which every VM watches the store.
+const MAX_ALL_WATCH: usize = 16;
+
+/// VMs that watch the store in a larger fleet.
+const WATCHERS: usize = 5;
+
 /// Pause between two requests that crash servers.
 const CRASHING_PAUSE: Duration = Duration::from_millis(200);
 
@@ -75,7 +81,7 @@
     for server in 0..SERVER_COUNT {
         soak.fleet.set_server_faults(server, &normal).await;
     }
-    let vm_addresses: Vec<_> = (0..usize::from(VM_COUNT))
+    let vm_addresses: Vec<_> = (0..soak.vm_count)
         .map(|vm| soak.fleet.listen_address(vm))
         .collect();
     let exchanges = Rc::new(RefCell::new(Vec::new()));
@@ -140,7 +146,7 @@
 /// Waits until every VM serves again, and returns a violation for each that does not.
 async fn wait_for_recovery(soak: &mut SoakFleet, seed: u64) -> Vec<String> {
     let mut violations = Vec::new();
-    for vm in 0..usize::from(VM_COUNT) {
+    for vm in 0..soak.vm_count {
         let recovery = async {
             for count in 0.. {
                 if soak.fleet.vm_process(vm).has_exited() {
@@ -176,7 +182,7 @@
 async fn check_config(soak: &SoakFleet) -> Vec<String> {
     let in_force = format!("name=config_in_force version={} ", soak.config_version());
     let mut violations = Vec::new();
-    for vm in 0..usize::from(VM_COUNT) {
+    for vm in 0..soak.vm_count {
         let started = Instant::now();
         loop {
             let log = soak.fleet.read_log(vm);
@@ -226,7 +232,7 @@
 /// Waits until every VM refuses the request that crashes servers; from then on, no server must crash.
 async fn check_quarantine(soak: &mut SoakFleet) -> Vec<String> {
     let mut violations = Vec::new();
-    for vm in 0..usize::from(VM_COUNT) {
+    for vm in 0..soak.vm_count {
         let started = Instant::now();
         while !is_refused(soak, vm).await {
             soak.restart_fragile_servers().await;
@@ -239,7 +245,7 @@
     }
     // Crashes that came before the refusals of all VMs.
     soak.restart_fragile_servers().await;
-    for vm in 0..usize::from(VM_COUNT) {
+    for vm in 0..soak.vm_count {
         if !is_refused(soak, vm).await {
             violations.push(format!("VM {vm} runs a quarantined request"));
         }
@@ -267,7 +273,7 @@
     };
     soak.fleet.set_server_faults(0, &limited).await;
     let before = soak.fleet.runs(0).await.len();
-    let callers = (0..usize::from(VM_COUNT)).map(|vm| async move {
+    let callers = (0..soak.vm_count).map(|vm| async move {
         let started = Instant::now();
         let mut count = 0;
         while started.elapsed() < LIMIT_SETTLE_TIME + LIMIT_WINDOW {
@@ -298,11 +304,14 @@
 async fn check_departure(soak: &mut SoakFleet, server: usize) -> Vec<String> {
     soak.finish_shutdowns().await;
     let fleet = &soak.fleet;
-    fleet
-        .wait_for_watches(SERVER_TABLE, usize::from(VM_COUNT))
-        .await;
+    let watchers = if soak.vm_count > MAX_ALL_WATCH {
+        WATCHERS
+    } else {
+        soak.vm_count
+    };
+    fleet.wait_for_watches(SERVER_TABLE, watchers).await;
     actix_rt::time::sleep(REREGISTER_GRACE + EXPIRY_SLACK).await;
-    let log_lengths: Vec<_> = (0..usize::from(VM_COUNT))
+    let log_lengths: Vec<_> = (0..soak.vm_count)
         .map(|vm| fleet.read_log(vm).len())
         .collect();
     fleet.unregister(server).await;
--- a/crates/verbenahinge/tests/fault_soak/fleet.rs
+++ b/crates/verbenahinge/tests/fault_soak/fleet.rs
@@ -13,7 +13,8 @@
 const BIN: &str = env!("CARGO_BIN_EXE_verbenahinge");
 const CONFIG: &str = include_str!("../data/gateway.json");
 
-pub(crate) const VM_COUNT: u8 = 3;
+/// Number of VMs unless `SOAK_VMS` sets another.
+const DEFAULT_VMS: u8 = 3;
 
 pub(crate) const SERVER_COUNT: usize = 4;
 
@@ -22,6 +23,7 @@
 
 /// A gateway fleet with proxies that inject network faults.
 pub(crate) struct SoakFleet {
+    pub(crate) vm_count: usize,
     pub(crate) fleet: GatewayFleet,
     server_proxies: Vec<Proxy>,
     store_proxy: Proxy,
@@ -34,8 +36,11 @@
 
 impl SoakFleet {
     pub(crate) async fn start() -> Self {
+        let vm_count = std::env::var("SOAK_VMS").map_or(DEFAULT_VMS, |vms| {
+            vms.parse().expect("SOAK_VMS is a number")
+        });
         let options = GatewayFleetOptions::new(CONFIG)
-            .vms(VM_COUNT - 1)
+            .vms(vm_count - 1)
             .servers(SERVER_COUNT);
         let mut fleet = GatewayFleet::start(BIN, options).await;
         let mut server_proxies = Vec::new();
@@ -56,8 +61,10 @@
         }
         let store_proxy = Proxy::start(fleet.store_address()).await;
         fleet.add_vm_with_store(store_proxy.address());
-        fleet.wait_until_ready(usize::from(VM_COUNT) - 1).await;
+        let vm_count = usize::from(vm_count);
+        fleet.wait_until_ready(vm_count - 1).await;
         Self {
+            vm_count,
             fleet,
             server_proxies,
             store_proxy,
@@ -70,7 +77,7 @@
     /// Injects a random fault and returns its description.
     pub(crate) async fn inject_fault(&mut self, rng: &SeededRng) -> String {
         let server = rng.index(SERVER_COUNT);
-        let vm = rng.index(usize::from(VM_COUNT));
+        let vm = rng.index(self.vm_count);
         let link_faults = [
             LinkFault::Delay(Duration::from_millis(150)),
             LinkFault::Reset,
@@ -180,7 +187,7 @@
 
     /// Clears a random part of the faults, or all, and restarts VMs that have exited.
     pub(crate) async fn clear_faults(&mut self, rng: &SeededRng, all: bool) {
-        for vm in 0..usize::from(VM_COUNT) {
+        for vm in 0..self.vm_count {
             let process = self.fleet.vm_process(vm);
             if all || rng.below(2) == 0 {
                 process.resume();
@@ -236,7 +243,7 @@
 
     /// Waits until VMs that are shutting down have exited, and restarts them.
     pub(crate) async fn finish_shutdowns(&mut self) {
-        for vm in 0..usize::from(VM_COUNT) {
+        for vm in 0..self.vm_count {
             while !self.fleet.is_ready(vm).await {
                 if self.fleet.vm_process(vm).has_exited() {
                     self.fleet.vm_process(vm).restart();
