fix(gateway): a request that gets no permit goes to a server without a limit

Callers would see, in a fleet above 17 VMs: refusals while a server without a limit is free. After two denied permits the request was refused, whatever servers were left. Also takes back a derived Default of RateLimiter that would have begun closed; nothing used it.

--- a/crates/verbenahinge-core/src/gateway/backend/rate_limiter.rs
+++ b/crates/verbenahinge-core/src/gateway/backend/rate_limiter.rs
@@ -41,7 +41,7 @@
 }
 
 /// Limit of one server as known to this VM, and what it may still send.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(in crate::gateway) struct RateLimiter {
     /// What this VM has seen in answers of the server.
     own: Option<Observation>,
--- a/crates/verbenahinge-core/src/gateway/state/limits.rs
+++ b/crates/verbenahinge-core/src/gateway/state/limits.rs
@@ -12,7 +12,7 @@
 use crate::gateway::number::to_u32;
 use crate::gateway::{Call, PlacementError, Priority};
 use crate::hash::{hash64, mix64};
-use crate::{Timestamp, VmId};
+use crate::{ServerName, Timestamp, VmId};
 
 /// Members of a server's group: this many, and `GROUP_PER_LIMIT` for each request per second of the
 /// limit. A member may be one request ahead of its share.
@@ -107,6 +107,11 @@
         self.backends.get(server)?.limiter.limit_per_s()
     }
 
+    /// Servers that have named a limit.
+    pub fn limited_servers(&self) -> impl Iterator<Item = &ServerName> {
+        self.limited_servers.iter()
+    }
+
     fn update_limited(&mut self, server: &str) {
         let Some(backend) = self.backends.get_mut(server) else {
             return;
--- a/crates/verbenahinge/src/gateway/request_handler.rs
+++ b/crates/verbenahinge/src/gateway/request_handler.rs
@@ -112,9 +112,15 @@
             }
             excluded.push(choice.server);
         }
-        let now = self.gateway.now();
-        let mut state = self.gateway.state.borrow_mut();
-        Err(state.refuse_limited(now, &self.call))
+        excluded.extend(self.gateway.state.borrow().limited_servers().cloned());
+        match self.choose_server(&excluded).await {
+            Err(PlacementError::NoServer) => {
+                let now = self.gateway.now();
+                let mut state = self.gateway.state.borrow_mut();
+                Err(state.refuse_limited(now, &self.call))
+            }
+            choice => choice,
+        }
     }
 
     async fn choose_server(&self, excluded: &[ServerName]) -> Result<ServerChoice, PlacementError> {
--- a/crates/verbenahinge/tests/server_limits.rs
+++ b/crates/verbenahinge/tests/server_limits.rs
@@ -135,11 +135,10 @@
     }
 }
 
-/// Guards against a large fleet in which each VM sends its own share of a limit, of which most send
-/// too little to use it.
-#[actix_rt::test]
-async fn large_fleet_exceeds_limit() {
-    let options = GatewayFleetOptions::new(CONFIG).vms(LARGE_FLEET).servers(2);
+async fn start_large(servers: usize) -> GatewayFleet {
+    let options = GatewayFleetOptions::new(CONFIG)
+        .vms(LARGE_FLEET)
+        .servers(servers);
     let fleet = GatewayFleet::start(BIN, options).await;
     for vm in 0..usize::from(LARGE_FLEET) {
         for other in 0..LARGE_FLEET {
@@ -149,6 +148,27 @@
             }
         }
     }
+    fleet
+}
+
+/// Guards against requests that are refused for want of a permit, though a server without a limit
+/// is free.
+#[actix_rt::test]
+async fn unlimited_server_unused() {
+    let fleet = start_large(4).await;
+    for server in 0..3 {
+        set_limit(&fleet, server, LIMIT_PER_S).await;
+    }
+    load(&fleet, "told", SETTLE_TIME).await;
+    let statuses = load(&fleet, "limited", Duration::from_secs(4)).await;
+    assert!(statuses.iter().all(|&status| status == 200), "{statuses:?}");
+}
+
+/// Guards against a large fleet in which each VM sends its own share of a limit, of which most send
+/// too little to use it.
+#[actix_rt::test]
+async fn large_fleet_exceeds_limit() {
+    let fleet = start_large(2).await;
     for server in 0..2 {
         set_limit(&fleet, server, LIMIT_PER_S).await;
     }
