refactor(gateway): bounds for what a digest tells of limits, and for fetches of a configuration that can't be read

Found by reading the change as a newcomer: with a thousand limited servers a digest would have outgrown the receive buffer and been lost as a whole (200 of them now, the latest seen first), and a VM that can't read a configuration that others have in force would have fetched it from each digest on (every two seconds now). Neither has a test: the first needs a thousand servers, the second a VM of another build.

--- a/crates/verbenahinge-core/src/gateway/state/limits.rs
+++ b/crates/verbenahinge-core/src/gateway/state/limits.rs
@@ -33,6 +33,9 @@
 /// Age up to which a VM tells others what it has seen of a limit.
 const REPORT_MAX_AGE: Duration = Duration::from_secs(10);
 
+/// Most servers in one digest, so that it fits into a datagram.
+const MAX_REPORTS: usize = 200;
+
 /// Age after which the demand of another VM is not used any more.
 const DEMAND_TTL: Duration = Duration::from_secs(10);
 
@@ -125,13 +128,16 @@
         }
     }
 
-    /// What this VM tells others about limited servers.
+    /// What this VM tells others about limited servers: what it saw last comes first.
     #[must_use]
     pub fn limit_reports(&self, now: Timestamp) -> Vec<LimitReport> {
         let servers = self.names_by_hash.keys();
-        servers
+        let mut reports: Vec<LimitReport> = servers
             .filter_map(|&server| self.limit_report(now, server))
-            .collect()
+            .collect();
+        reports.sort_by_key(|report| (!report.is_observed, report.age));
+        reports.truncate(MAX_REPORTS);
+        reports
     }
 
     /// What this VM tells others about the limit of one server; `None` if it knows of none.
--- a/crates/verbenahinge/src/gateway/crash_store.rs
+++ b/crates/verbenahinge/src/gateway/crash_store.rs
@@ -58,7 +58,7 @@
         }
     }
 
-    /// Notes the era of a response of the store; a new one means that records may be lost.
+    /// Notes the era of the store; returns whether it is a new one, in which records may be lost.
     fn note_era(&self, era: u64) -> bool {
         let old = self.era.replace(Some(era));
         old.is_some_and(|old| old != era)
@@ -75,7 +75,7 @@
     }
 }
 
-/// Notes the era of a response of the store: the records are written again in each era.
+/// Notes the era of the store: the records are written again in each.
 pub(super) fn note_era(gateway: &Gateway, era: u64) {
     if gateway.crash_store.note_era(era) {
         request_backup(gateway);
--- a/crates/verbenahinge/src/gateway/watch.rs
+++ b/crates/verbenahinge/src/gateway/watch.rs
@@ -38,6 +38,9 @@
 /// fetches it from another one: twice [`PUSH_WAIT`], after which the table itself is fetched.
 const CONFIG_FETCH_DELAY: Duration = Duration::from_millis(240);
 
+/// Pause after a configuration that could not be fetched or read.
+const FAILED_FETCH_PAUSE: Duration = Duration::from_secs(2);
+
 /// Time after the start in which a VM that already has a replica should discover other VMs before
 /// it watches the store. It has no effect at present, since it is compared with the time since the
 /// Unix epoch.
@@ -275,7 +278,10 @@
             Some(delta) => apply_newer_config(&gateway, newer.source, &delta),
             None => log::debug!("failed to fetch the configuration of {}", newer.source),
         }
-        // If the fetch failed, a later digest names the version again.
+        if newer_config(&gateway).is_some() {
+            // A later digest names the version again.
+            actix_rt::time::sleep(FAILED_FETCH_PAUSE).await;
+        }
         gateway.replicas.newer_config.replace(None);
     }
 }
