--- a/crates/verbenahinge/tests/fault_soak/fleet.rs
+++ b/crates/verbenahinge/tests/fault_soak/fleet.rs
@@ -32,6 +32,7 @@
     entries: Vec<ServerEntry>,
     /// Starts of the fragile servers so far, by which their entries differ.
     fragile_starts: u64,
+    is_store_faulty: bool,
 }
 
 impl SoakFleet {
@@ -71,6 +72,7 @@
             config_version: 7,
             entries,
             fragile_starts: 1,
+            is_store_faulty: false,
         }
     }
 
@@ -128,6 +130,7 @@
                     ..StoreFaults::default()
                 };
                 self.fleet.set_store_faults(&faults).await;
+                self.is_store_faulty = true;
                 format!("{faults:?}")
             }
             6 => {
@@ -146,19 +149,24 @@
             }
             9 => {
                 self.entries[server].state = ServerState::Draining;
-                self.fleet.set_store_faults(&StoreFaults::default()).await;
+                self.clear_store_faults().await;
                 self.fleet.register(&self.entries[server]).await;
                 format!("drain of server {server}")
             }
             _ => {
                 self.config_version += 1;
-                self.fleet.set_store_faults(&StoreFaults::default()).await;
+                self.clear_store_faults().await;
                 self.write_config().await;
                 format!("configuration {}", self.config_version)
             }
         }
     }
 
+    async fn clear_store_faults(&mut self) {
+        self.fleet.set_store_faults(&StoreFaults::default()).await;
+        self.is_store_faulty = false;
+    }
+
     async fn write_config(&self) {
         let version = format!("\"version\": {}", self.config_version);
         let config = CONFIG.replace("\"version\": 7", &version);
@@ -167,11 +175,11 @@
 
     /// Restores the store from a copy of a few versions before; the operator and the servers write
     /// again what they had written.
-    pub(crate) async fn roll_back_store(&self, rng: &SeededRng) -> String {
+    pub(crate) async fn roll_back_store(&mut self, rng: &SeededRng) -> String {
         let newest = self.fleet.store_version().await;
         let copy = newest.saturating_sub(1 + rng.below(8)).max(1);
         self.fleet.roll_back_store(copy).await;
-        self.fleet.set_store_faults(&StoreFaults::default()).await;
+        self.clear_store_faults().await;
         actix_rt::time::sleep(Duration::from_millis(rng.below(200))).await;
         self.write_config().await;
         for entry in &self.entries {
@@ -203,7 +211,7 @@
         }
         if all || rng.below(3) == 0 {
             self.store_proxy.set_fault(LinkFault::None);
-            self.fleet.set_store_faults(&StoreFaults::default()).await;
+            self.clear_store_faults().await;
             for entry in &mut self.entries {
                 if entry.state == ServerState::Draining {
                     // A server that drained has ended, and this is its next start.
@@ -222,9 +230,13 @@
         }
     }
 
-    /// Starts fragile servers again that have crashed; returns how many.
+    /// Starts fragile servers again that have crashed, unless the store is faulty, since they have to
+    /// register; returns how many.
     pub(crate) async fn restart_fragile_servers(&mut self) -> usize {
         let mut crashed = 0;
+        if self.is_store_faulty {
+            return crashed;
+        }
         for server in SERVER_COUNT..SERVER_COUNT + FRAGILE_COUNT {
             if !self.fleet.server_process(server).has_exited() {
                 continue;
