--- a/crates/verbenahinge-emulator/src/scripted_server.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server.rs
@@ -58,6 +58,11 @@
     Unframed,
     /// Stops in the middle of an event of a stream and keeps the connection open.
     Stall,
+    /// Sends nothing for `pause_ms` in the middle of an event of a stream, or before a plain response,
+    /// and then goes on.
+    Pause,
+    /// Sends nothing for `pause_ms` before the response and then goes on.
+    LateStart,
     /// Exits the process while it executes the request.
     Crash,
     /// Sends a header line that does not end, until the client closes the connection.
@@ -82,6 +87,8 @@
     pub events: u64,
     /// Rate limit that responses name, in requests per second; 0 means none.
     pub limit_per_s: f64,
+    /// Length of a pause, in milliseconds.
+    pub pause_ms: u64,
 }
 
 /// Record of a request that a server executed.
@@ -153,6 +160,17 @@
     }
 }
 
+/// Waits, unless the client closes the connection or sends more data.
+async fn sleep_while_connected(stream: &TcpStream, time: Duration) -> io::Result<()> {
+    let mut peeked = [0; 1];
+    tokio::select! {
+        () = actix_rt::time::sleep(time) => Ok(()),
+        _ = stream.peek(&mut peeked) => {
+            Err(io::Error::other("client disconnected or sent more data"))
+        }
+    }
+}
+
 /// Sends the start of a response and then one letter again and again, until the client closes.
 async fn send_endlessly(stream: &mut TcpStream, start: &[u8]) -> io::Result<()> {
     /// Number of letters that are sent at a time.
@@ -283,6 +301,8 @@
                 stream.set_zero_linger()?;
                 return Ok(false);
             }
+            ServerFault::LateStart => self.pause(stream).await?,
+            ServerFault::Pause if !request.is_stream => self.pause(stream).await?,
             ServerFault::BreakOff if !request.is_stream => {
                 let bytes = response::complete(request, load, limit_per_s);
                 stream.write_all(&bytes[..bytes.len() - 2]).await?;
@@ -292,6 +312,7 @@
             | ServerFault::Reject
             | ServerFault::ExtraAnswer
             | ServerFault::BreakOff
+            | ServerFault::Pause
             | ServerFault::Stall => {}
         }
         if request.is_stream {
@@ -336,15 +357,22 @@
                 }
                 return Err(io::Error::other("connection closed by the injected fault"));
             }
-            stream.write_all(&response::chunk(&event)).await?;
-            let mut peeked = [0; 1];
-            tokio::select! {
-                () = actix_rt::time::sleep(event_interval) => {}
-                _ = stream.peek(&mut peeked) => {
-                    return Err(io::Error::other("client disconnected or sent more data"));
-                }
+            let mut unsent = event.as_slice();
+            if is_midpoint && fault == ServerFault::Pause {
+                let (start, rest) = event.split_at(event.len() / 2);
+                stream.write_all(&response::chunk(start)).await?;
+                self.pause(stream).await?;
+                unsent = rest;
             }
+            stream.write_all(&response::chunk(unsent)).await?;
+            sleep_while_connected(stream, event_interval).await?;
         }
         stream.write_all(response::LAST_CHUNK).await
     }
+
+    /// Sends nothing for the length of a pause.
+    async fn pause(&self, stream: &TcpStream) -> io::Result<()> {
+        let pause = Duration::from_millis(self.faults.borrow().pause_ms);
+        sleep_while_connected(stream, pause).await
+    }
 }
--- a/crates/verbenahinge/src/cli/emulate.rs
+++ b/crates/verbenahinge/src/cli/emulate.rs
@@ -55,7 +55,8 @@
             "limit",
             "server: requests per second that it names [none]",
             "N",
-        );
+        )
+        .optopt("", "pause-ms", "server: length of a pause [0]", "MS");
     let usage_line = "emulate platform|engine|service|store|server --listen IP:PORT [OPTIONS]";
     let Some(matches) = parse_options(&mut options, args, usage_line)? else {
         return Ok(EXIT_OK);
@@ -126,6 +127,7 @@
             work_ms: option_or_default(matches, "work-ms", 5)?,
             events: option_or_default(matches, "events", 5)?,
             limit_per_s: option_or_default(matches, "limit", 0.0)?,
+            pause_ms: option_or_default(matches, "pause-ms", 0)?,
         },
     })
 }
