fix(gateway): a silent server keeps its request until another one answers

What callers saw: a stream that may resume broke off, or a request ended as 502 or 504, although its server was sound and would have gone on after a pause of a second or more.

Cause: silence counted as a failure of the attempt. The connection was closed before another server was looked for (relay::resume, attempt_buffered), so the answer was lost whenever no other server took the request over: no attempt, retry, time or place left, or a second server that failed or paused too. Class: a timeout that gives up the only answer before there is a better one.

Ruled out: a longer timeout alone. It moves the fault to longer pauses, and streams of servers that never go on would wait for it.

Change: the attempts of a request race (AttemptRace). A silent one stays open while the next one runs; the first server with an event, or with a whole response, is used, and the connections of the others are closed then, so two servers work on a request at once for no longer than an answer takes to arrive. Without a second server the request waits until its deadline. A silent attempt that fails later does not begin a third one. Streams and buffered requests share the loop (run_attempts). Events 513 to 515 tell of a silence, its end, and of a retry without a server, which the log dropped before.

--- a/crates/verbenahinge/src/event_log.rs
+++ b/crates/verbenahinge/src/event_log.rs
@@ -73,6 +73,12 @@
     AttemptFailed = 511,
     /// A request was rejected at admission.
     RequestTurnedAway = 512,
+    /// The server of an attempt sends nothing; the attempt goes on.
+    AttemptSilent = 513,
+    /// A server that was silent has answered.
+    AttemptContinued = 514,
+    /// No server was found for a retry.
+    RetryUnplaced = 515,
     /// The link to a peer was lost, or the peer announced its shutdown.
     PeerLost = 600,
     /// A link to a peer was established.
--- a/crates/verbenahinge/src/gateway.rs
+++ b/crates/verbenahinge/src/gateway.rs
@@ -6,6 +6,7 @@
 //! `docs/design/platform.md`.
 
 mod attempt;
+mod attempt_race;
 mod connection_pool;
 mod control;
 mod crash_store;
@@ -18,6 +19,7 @@
 mod request_handler;
 mod response;
 mod response_memory;
+mod server_stream;
 mod shutdown;
 mod watch;
 
--- a/crates/verbenahinge/src/gateway/attempt.rs
+++ b/crates/verbenahinge/src/gateway/attempt.rs
@@ -251,14 +251,11 @@
     Err(AttemptError::Failed(FailureKind::Malformed))
 }
 
-/// Returns the time after which an attempt without a complete response is abandoned for another
-/// server.
-pub(crate) fn attempt_timeout(call: &Call, can_retry: bool) -> Duration {
+/// Returns the time after which a request that has no complete response is tried at another server
+/// too; `None` if it waits for this one alone.
+pub(crate) fn response_timeout(call: &Call, can_retry: bool) -> Option<Duration> {
     /// Multiple of the latency target; most responses take a fraction of one target.
     const TARGET_FACTOR: u32 = 3;
-    if can_retry && call.route.kind == RouteKind::Idempotent {
-        call.route.latency_target * TARGET_FACTOR
-    } else {
-        Duration::MAX
-    }
+    let is_idempotent = call.route.kind == RouteKind::Idempotent;
+    (can_retry && is_idempotent).then(|| call.route.latency_target * TARGET_FACTOR)
 }
--- /dev/null
+++ b/crates/verbenahinge/src/gateway/attempt_race.rs
@@ -0,0 +1,175 @@
+//! Attempts of one request that are in flight at the same time.
+//!
+//! A server that sends nothing for a while may be sound and go on. Its attempt stays open while the
+//! request is tried at another server, and the first server that answers is used. The other attempts
+//! end with the race, which closes their connections. See `docs/design/retry.md`.
+
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use verbenahinge_core::{ServerName, Timestamp};
+
+use super::Gateway;
+use super::attempt::AttemptError;
+
+type AttemptFuture<T> = Pin<Box<dyn Future<Output = Result<T, AttemptError>>>>;
+
+/// What shows that a server is not silent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum SignOfLife {
+    /// Only the response to the request itself.
+    Response,
+    /// Data for any request.
+    AnyData,
+}
+
+/// Time without a sign of life after which a server counts as silent.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SilenceTimeout {
+    since: Timestamp,
+    timeout: Duration,
+    sign: SignOfLife,
+}
+
+impl SilenceTimeout {
+    /// Creates a timeout that begins now.
+    pub(super) fn new(gateway: &Gateway, timeout: Duration, sign: SignOfLife) -> Self {
+        Self {
+            since: gateway.now(),
+            timeout,
+            sign,
+        }
+    }
+
+    /// Time until the server counts as silent.
+    pub(super) fn time_left(&self, gateway: &Gateway, server: &str) -> Duration {
+        let last_sign_at = match self.sign {
+            SignOfLife::Response => None,
+            SignOfLife::AnyData => gateway.state.borrow().last_progress(server),
+        };
+        let since = self.since.max(last_sign_at.unwrap_or_default());
+        since
+            .saturating_add(self.timeout)
+            .saturating_sub(gateway.now())
+    }
+}
+
+/// An attempt in flight.
+pub(super) struct RunningAttempt<T> {
+    server: ServerName,
+    future: AttemptFuture<T>,
+    silence_timeout: Option<SilenceTimeout>,
+    was_silent: bool,
+}
+
+impl<T> RunningAttempt<T> {
+    /// Creates an attempt whose server counts as silent after a timeout, if there is one.
+    pub(super) fn new(
+        server: ServerName,
+        silence_timeout: Option<SilenceTimeout>,
+        future: impl Future<Output = Result<T, AttemptError>> + 'static,
+    ) -> Self {
+        Self {
+            server,
+            future: Box::pin(future),
+            silence_timeout,
+            was_silent: false,
+        }
+    }
+
+    /// Creates an attempt whose server has been silent already.
+    pub(super) fn silent(
+        server: ServerName,
+        future: impl Future<Output = Result<T, AttemptError>> + 'static,
+    ) -> Self {
+        Self {
+            was_silent: true,
+            ..Self::new(server, None, future)
+        }
+    }
+}
+
+/// An attempt that has ended.
+pub(super) struct EndedAttempt<T> {
+    pub(super) server: ServerName,
+    pub(super) result: Result<T, AttemptError>,
+    /// Whether the server had been silent before.
+    pub(super) was_silent: bool,
+}
+
+/// Next event of a race.
+pub(super) enum RaceEvent<T> {
+    /// An attempt ended.
+    Ended(EndedAttempt<T>),
+    /// The server of the latest attempt is silent; reported once for each attempt.
+    Silent { server: ServerName },
+}
+
+/// Attempts of one request that are in flight, in the order of their start.
+pub(super) struct AttemptRace<T> {
+    attempts: Vec<RunningAttempt<T>>,
+}
+
+impl<T> AttemptRace<T> {
+    pub(super) const fn new() -> Self {
+        Self {
+            attempts: Vec::new(),
+        }
+    }
+
+    pub(super) const fn is_empty(&self) -> bool {
+        self.attempts.is_empty()
+    }
+
+    pub(super) fn push(&mut self, attempt: RunningAttempt<T>) {
+        self.attempts.push(attempt);
+    }
+
+    /// Waits until an attempt ends or the server of the latest one is silent.
+    pub(super) async fn next(&mut self, gateway: &Gateway) -> RaceEvent<T> {
+        loop {
+            let time_left = self.time_until_silent(gateway);
+            let ended = poll_fn(|context| self.poll_ended(context));
+            if let Ok(ended) = actix_rt::time::timeout(time_left, ended).await {
+                return RaceEvent::Ended(ended);
+            }
+            if !self.time_until_silent(gateway).is_zero() {
+                continue;
+            }
+            if let Some(latest) = self.attempts.last_mut() {
+                latest.silence_timeout = None;
+                latest.was_silent = true;
+                let server = latest.server.clone();
+                return RaceEvent::Silent { server };
+            }
+        }
+    }
+
+    fn time_until_silent(&self, gateway: &Gateway) -> Duration {
+        let Some(latest) = self.attempts.last() else {
+            return Duration::MAX;
+        };
+        latest.silence_timeout.map_or(Duration::MAX, |timeout| {
+            timeout.time_left(gateway, &latest.server)
+        })
+    }
+
+    fn poll_ended(&mut self, context: &mut Context<'_>) -> Poll<EndedAttempt<T>> {
+        for (index, attempt) in self.attempts.iter_mut().enumerate() {
+            let Poll::Ready(result) = attempt.future.as_mut().poll(context) else {
+                continue;
+            };
+            let RunningAttempt {
+                server, was_silent, ..
+            } = self.attempts.remove(index);
+            return Poll::Ready(EndedAttempt {
+                server,
+                result,
+                was_silent,
+            });
+        }
+        Poll::Pending
+    }
+}
--- a/crates/verbenahinge/src/gateway/relay.rs
+++ b/crates/verbenahinge/src/gateway/relay.rs
@@ -1,27 +1,29 @@
 //! Relays a stream of events from a backend server to a caller.
 //!
 //! Only complete events are forwarded, so that an interrupted stream can resume at another server
-//! after the last event that the caller has received.
+//! after the last event that the caller has received. A silent server keeps its connection until
+//! another one has an event, since it may be sound and go on.
 
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
-use http_body_util::BodyExt;
 use hyper::header::CONTENT_LENGTH;
-use hyper::{HeaderMap, Response, StatusCode};
+use hyper::{Response, StatusCode};
 use verbenahinge_core::gateway::ServerChoice;
-use verbenahinge_core::{FailureKind, ServerName, Timestamp};
+use verbenahinge_core::{FailureKind, ServerName};
 use verbenahinge_platform::http_headers;
 
-use super::attempt::{AttemptError, AttemptGuard, BufferedResponse, OpenResponse};
-use super::event_splitter::{EventSplitter, RawEvent};
-use super::request_handler::{RequestHandler, RetryDecision};
+use super::attempt::{AttemptError, BufferedResponse, OpenResponse};
+use super::attempt_race::{AttemptRace, RunningAttempt, SignOfLife, SilenceTimeout};
+use super::event_splitter::RawEvent;
+use super::request_handler::RequestHandler;
+use super::request_handler::attempts::{RetryDecision, Unserved};
 use super::response::{CallerResponse, IncompleteResponse, ResponseBody};
+use super::server_stream::{ServerStream, StreamItem};
 
-/// Minimum time without data from a server after which a resumable stream moves to another server;
-/// callers wait at least two seconds for the next event.
+/// Minimum time without data from a server after which a resumable stream is tried at another server
+/// too; callers wait at least two seconds for the next event.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(1100);
 
 /// Stall timeout as a multiple of the route's target for the gap between events.
@@ -31,232 +33,128 @@
 /// starts.
 const EXPECTED_WAIT_FACTOR: f64 = 2.0;
 
-/// Stream of events received from one server.
-struct ServerStream {
-    response: Option<OpenResponse>,
-    attempt_guard: AttemptGuard,
-    splitter: EventSplitter,
-    stall_timeout: Duration,
+/// Returns the time without data after which a stream is tried at another server too; `None` if it
+/// must not run twice.
+fn stall_timeout(handler: &RequestHandler) -> Option<Duration> {
+    let route = &handler.call.route;
+    let gap = route.gap_target.unwrap_or(MIN_STALL_TIMEOUT);
+    route
+        .resumable
+        .then(|| MIN_STALL_TIMEOUT.max(gap * STALL_GAP_FACTOR))
 }
 
-/// Next item of a [`ServerStream`].
-enum StreamItem {
-    Event(RawEvent),
-    End,
+/// Response of a server to a request for a stream.
+enum ServerReply {
+    /// A stream and its first item.
+    Stream(Box<ServerStream>, StreamItem),
+    Buffered(Box<BufferedResponse>),
 }
 
-impl ServerStream {
-    /// Waits for the next complete event or the end of the stream.
-    async fn next_item(&mut self, handler: &RequestHandler) -> Result<StreamItem, AttemptError> {
-        loop {
-            if let Some(event) = self.splitter.next_event() {
-                return Ok(StreamItem::Event(event));
-            }
-            let Some(response) = &mut self.response else {
-                return Err(AttemptError::Failed(FailureKind::ConnectionLost));
-            };
-            let frame = read_frame(
-                response,
-                handler,
-                self.attempt_guard.server(),
-                self.stall_timeout,
-            );
-            let Some(frame) = frame.await? else {
-                if self.splitter.has_incomplete_event() {
-                    return Err(AttemptError::Failed(FailureKind::Malformed));
-                }
-                return Ok(StreamItem::End);
-            };
-            if !self.splitter.push(&frame) {
-                return Err(AttemptError::Failed(FailureKind::Malformed));
-            }
-        }
-    }
-
-    /// Returns the connection to the pool after the end of the stream.
-    fn release_connection(&mut self) {
-        if let Some(response) = self.response.take() {
-            let OpenResponse {
-                connection, head, ..
-            } = response;
-            connection.release(head.idle_timeout, head.closes_connection);
+/// Sends the request to a server, to be answered from the event after `last_event`.
+fn start_stream(
+    handler: &mut RequestHandler,
+    choice: &ServerChoice,
+    last_event: Option<u64>,
+) -> RunningAttempt<ServerReply> {
+    let attempt_guard = handler.begin_attempt(choice);
+    let deadline = handler.response_deadline();
+    let (gateway, call, request) = handler.shared_parts();
+    let silence_timeout = stall_timeout(handler).map(|timeout| {
+        let timeout = timeout + choice.expected_wait.mul_f64(EXPECTED_WAIT_FACTOR);
+        SilenceTimeout::new(&gateway, timeout, SignOfLife::AnyData)
+    });
+    let server = choice.server.clone();
+    let choice = choice.clone();
+    RunningAttempt::new(server, silence_timeout, async move {
+        let response = gateway
+            .send_request(&call, &request, &choice, last_event, deadline)
+            .await?;
+        if !is_stream(&response) {
+            let response = gateway.buffer_response(response, deadline).await?;
+            return Ok(ServerReply::Buffered(Box::new(response)));
         }
-    }
+        let stream = ServerStream::new(gateway, response, attempt_guard, deadline);
+        read_reply(Box::new(stream)).await
+    })
+}
 
-    /// Closes the connection, so that the server stops working on the request.
-    fn close(&mut self) {
-        self.response = None;
-        self.splitter = EventSplitter::default();
-    }
+fn is_stream(response: &OpenResponse) -> bool {
+    response.status.is_success() && response.head.has_signature && !response.head.not_run
 }
 
-async fn read_frame(
-    response: &mut OpenResponse,
-    handler: &RequestHandler,
-    server: &ServerName,
-    stall_timeout: Duration,
-) -> Result<Option<Bytes>, AttemptError> {
-    let gateway = &handler.gateway;
-    let started_at = gateway.now();
-    loop {
-        let now = gateway.now();
-        let deadline = handler.response_deadline();
-        if now >= deadline {
-            return Err(AttemptError::TimeUp);
-        }
-        let timeout = deadline.saturating_sub(now).min(stall_timeout);
-        match actix_rt::time::timeout(timeout, response.body.frame()).await {
-            Ok(Some(Ok(frame))) => {
-                gateway
-                    .state
-                    .borrow_mut()
-                    .note_progress(gateway.now(), server);
-                if let Ok(data) = frame.into_data() {
-                    return Ok(Some(data));
-                }
-            }
-            Ok(Some(Err(_))) => return Err(AttemptError::Failed(FailureKind::ConnectionLost)),
-            Ok(None) => return Ok(None),
-            Err(_) if is_silent(handler, server, started_at, stall_timeout) => {
-                return Err(AttemptError::Failed(FailureKind::Silent));
-            }
-            Err(_) => {}
-        }
-    }
+/// Waits for the next item of a stream until the deadline, however long the server is silent.
+async fn read_reply(mut stream: Box<ServerStream>) -> Result<ServerReply, AttemptError> {
+    let item = stream.next_item(None).await?;
+    Ok(ServerReply::Stream(stream, item))
 }
 
-/// Returns whether a resumable stream should leave a server that has sent nothing, for any request,
-/// for the stall timeout.
-fn is_silent(
+/// Returns why a reply counts as a failure; otherwise records what it shows.
+fn check_reply(
     handler: &RequestHandler,
     server: &ServerName,
-    started_at: Timestamp,
-    stall_timeout: Duration,
-) -> bool {
-    if !handler.call.route.resumable {
-        return false;
+    reply: &ServerReply,
+) -> Option<FailureKind> {
+    match reply {
+        ServerReply::Stream(_, StreamItem::Event(_)) => {
+            handler.record_first_token(server);
+            None
+        }
+        ServerReply::Stream(_, StreamItem::End) => None,
+        ServerReply::Buffered(response) => handler.check_response(server, response),
     }
-    let now = handler.gateway.now();
-    let state = handler.gateway.state.borrow();
-    let last_progress_at = state
-        .last_progress(server)
-        .unwrap_or(started_at)
-        .max(started_at);
-    now.saturating_sub(last_progress_at) >= stall_timeout
-}
-
-fn stall_timeout_for(handler: &RequestHandler) -> Duration {
-    let gap = handler.call.route.gap_target.unwrap_or(MIN_STALL_TIMEOUT);
-    MIN_STALL_TIMEOUT.max(gap * STALL_GAP_FACTOR)
-}
-
-/// Response of a server to a request for a stream.
-enum ServerReply {
-    Stream(Box<ServerStream>),
-    Buffered(Box<BufferedResponse>),
 }
 
-/// Sends the request to a server and waits for the head of the response.
-async fn open_stream(
-    handler: &mut RequestHandler,
-    choice: &ServerChoice,
-    last_event: Option<u64>,
-) -> Result<ServerReply, AttemptError> {
-    let attempt_guard = handler.begin_attempt(choice);
-    let handler = &*handler;
-    let gateway = Rc::clone(&handler.gateway);
-    let server = &choice.server;
-    let started_at = gateway.now();
-    let stall_timeout = stall_timeout_for(handler);
-    let initial_stall_timeout = stall_timeout + choice.expected_wait.mul_f64(EXPECTED_WAIT_FACTOR);
-    let deadline = handler.response_deadline();
-    let pending_response = gateway.send_request(
-        &handler.call,
-        &handler.request,
-        choice,
-        last_event,
-        deadline,
-    );
-    tokio::pin!(pending_response);
-    let response = loop {
-        match actix_rt::time::timeout(initial_stall_timeout, &mut pending_response).await {
-            Ok(response) => break response?,
-            Err(_) if is_silent(handler, server, started_at, initial_stall_timeout) => {
-                return Err(AttemptError::Failed(FailureKind::Silent));
+/// Serves a request whose response is a stream of events.
+pub(super) async fn serve(mut handler: RequestHandler) -> CallerResponse {
+    let last_event = handler.request.last_event;
+    let result = handler
+        .run_attempts(
+            AttemptRace::new(),
+            true,
+            |handler, choice| start_stream(handler, choice, last_event),
+            check_reply,
+        )
+        .await;
+    match result {
+        Ok((_, ServerReply::Stream(stream, first_item))) => {
+            if let StreamItem::Event(_) = &first_item {
+                handler.note_first_event();
             }
-            Err(_) => {}
+            start_response(handler, stream, first_item)
         }
-    };
-    if response.status.is_success() && response.head.has_signature && !response.head.not_run {
-        return Ok(ServerReply::Stream(Box::new(ServerStream {
-            response: Some(response),
-            attempt_guard,
-            splitter: EventSplitter::default(),
-            stall_timeout,
-        })));
+        Ok((server, ServerReply::Buffered(response))) => {
+            handler.forward_response(&server, *response)
+        }
+        Err(unserved) => handler.respond_unserved(buffered_only(unserved)),
     }
-    gateway
-        .buffer_response(response, deadline)
-        .await
-        .map(|response| ServerReply::Buffered(Box::new(response)))
 }
 
-/// Serves a request whose response is a stream of events.
-pub(super) async fn serve(mut handler: RequestHandler) -> CallerResponse {
-    loop {
-        let choice = match handler.select_server().await {
-            Ok(choice) => choice,
-            Err(reason) => return handler.respond_unplaced(reason),
-        };
-        let server = choice.server.clone();
-        let last_event = handler.request.last_event;
-        let error = match open_stream(&mut handler, &choice, last_event).await {
-            Ok(ServerReply::Stream(mut upstream)) => match upstream.next_item(&handler).await {
-                Ok(StreamItem::Event(event)) => {
-                    handler.record_first_event(&server);
-                    return start_response(handler, upstream, Some(event));
-                }
-                Ok(StreamItem::End) => return start_response(handler, upstream, None),
-                Err(error) => error,
-            },
-            Ok(ServerReply::Buffered(response)) => match handler.check_response(&server, &response)
-            {
-                None => return handler.forward_response(&server, *response),
-                Some(kind) => match handler.handle_failure(&server, AttemptError::Failed(kind)) {
-                    RetryDecision::Retry => continue,
-                    RetryDecision::GiveUp(_) if kind == FailureKind::ServerError => {
-                        return handler.forward_response(&server, *response);
-                    }
-                    RetryDecision::GiveUp(error) => return handler.respond_failed(error),
-                },
-            },
-            Err(error) => error,
-        };
-        match handler.handle_failure(&server, error) {
-            RetryDecision::Retry => {}
-            RetryDecision::GiveUp(error) => return handler.respond_failed(error),
+/// Drops the output of a failed attempt unless it is a buffered response.
+fn buffered_only(unserved: Unserved<ServerReply>) -> Unserved<BufferedResponse> {
+    match unserved {
+        Unserved::Unplaced(reason) => Unserved::Unplaced(reason),
+        Unserved::Failed(error, Some((server, ServerReply::Buffered(response)))) => {
+            Unserved::Failed(error, Some((server, *response)))
         }
+        Unserved::Failed(error, _) => Unserved::Failed(error, None),
     }
 }
 
 fn start_response(
     handler: RequestHandler,
-    upstream: Box<ServerStream>,
-    first_event: Option<RawEvent>,
+    stream: Box<ServerStream>,
+    first_item: StreamItem,
 ) -> CallerResponse {
-    let mut headers = HeaderMap::new();
-    let mut status = StatusCode::OK;
-    if let Some(response) = &upstream.response {
-        headers = http_headers::without_hop_by_hop(&response.headers);
-        status = response.status;
-    }
+    let status = stream.status();
+    let mut headers = http_headers::without_hop_by_hop(stream.headers());
     // A stream that resumes at another server may have a different length.
     headers.remove(CONTENT_LENGTH);
     let relay = Relay {
+        server: stream.server().clone(),
         handler,
-        upstream,
+        upstream: Some(stream),
         last_event: None,
-        pending_event: first_event,
+        pending_item: Some(first_item),
         has_failed: false,
     };
     let events = stream::unfold(relay, |mut relay| async move {
@@ -272,9 +170,12 @@
 /// Stream to the caller, read from one server after another.
 struct Relay {
     handler: RequestHandler,
-    upstream: Box<ServerStream>,
+    /// Server of the latest item.
+    server: ServerName,
+    /// `None` after a failure or the end.
+    upstream: Option<Box<ServerStream>>,
     last_event: Option<u64>,
-    pending_event: Option<RawEvent>,
+    pending_item: Option<StreamItem>,
     has_failed: bool,
 }
 
@@ -285,30 +186,28 @@
             return None;
         }
         loop {
-            let item = match self.pending_event.take() {
-                Some(event) => Ok(StreamItem::Event(event)),
-                None => self.upstream.next_item(&self.handler).await,
+            let item = match self.pending_item.take() {
+                Some(item) => Ok(item),
+                None => self.next_item().await,
             };
-            let error = match item {
-                Ok(StreamItem::Event(event)) if self.is_duplicate(&event) => continue,
+            match item {
+                Ok(StreamItem::Event(event)) if self.is_duplicate(&event) => {}
                 Ok(StreamItem::Event(event)) => return Some(Ok(self.merge_buffered_events(event))),
                 Ok(StreamItem::End) => {
                     self.complete();
                     return None;
                 }
-                Err(error) => error,
-            };
-            if !self.resume(error).await {
-                self.has_failed = true;
-                let server = self.upstream.attempt_guard.server().clone();
-                let detail = format!("{error:?} last_event={:?}", self.last_event);
-                self.handler.record_outcome(
-                    "broken_off",
-                    Some(&server),
-                    Some(StatusCode::OK),
-                    &detail,
-                );
-                return Some(Err(IncompleteResponse));
+                Err(error) => {
+                    self.has_failed = true;
+                    let detail = format!("{error:?} last_event={:?}", self.last_event);
+                    self.handler.record_outcome(
+                        "broken_off",
+                        Some(&self.server),
+                        Some(StatusCode::OK),
+                        &detail,
+                    );
+                    return Some(Err(IncompleteResponse));
+                }
             }
         }
     }
@@ -322,7 +221,7 @@
     fn merge_buffered_events(&mut self, first_event: RawEvent) -> Bytes {
         self.last_event = first_event.id.or(self.last_event);
         let mut chunk: Option<BytesMut> = None;
-        while let Some(event) = self.upstream.splitter.next_event() {
+        while let Some(event) = self.next_buffered_event() {
             if self.is_duplicate(&event) {
                 continue;
             }
@@ -334,49 +233,85 @@
         chunk.map_or(first_event.bytes, BytesMut::freeze)
     }
 
+    fn next_buffered_event(&mut self) -> Option<RawEvent> {
+        self.upstream.as_mut()?.next_buffered_event()
+    }
+
     fn complete(&mut self) {
-        let server = self.upstream.attempt_guard.server().clone();
         {
             let mut state = self.handler.gateway.state.borrow_mut();
             let now = self.handler.gateway.now();
-            state.note_answer(now, &server, true);
+            state.note_answer(now, &self.server, true);
         }
         let fingerprint = self.handler.call.fingerprint;
         self.handler.gateway.record_completion(fingerprint);
-        self.upstream.release_connection();
+        if let Some(stream) = self.upstream.take() {
+            stream.release_connection();
+        }
         self.handler
-            .record_outcome("answered", Some(&server), Some(StatusCode::OK), &"");
+            .record_outcome("answered", Some(&self.server), Some(StatusCode::OK), &"");
     }
 
-    /// Resumes at another server after the last event that the caller has received; returns whether
-    /// that succeeded.
-    async fn resume(&mut self, error: AttemptError) -> bool {
-        let mut server = self.upstream.attempt_guard.server().clone();
-        let mut error = error;
-        loop {
-            // Close the old connection first, so that the previous server stops working on the
-            // request.
-            self.upstream.close();
-            match self.handler.handle_failure(&server, error) {
-                RetryDecision::Retry if self.handler.call.route.resumable => {}
-                RetryDecision::Retry | RetryDecision::GiveUp(_) => return false,
+    /// Waits for the next item of the server, or of another one if the server fails or is silent.
+    async fn next_item(&mut self) -> Result<StreamItem, AttemptError> {
+        let Some(mut stream) = self.upstream.take() else {
+            return Err(AttemptError::Failed(FailureKind::ConnectionLost));
+        };
+        let error = match stream.next_item(stall_timeout(&self.handler)).await {
+            Ok(item) => {
+                self.upstream = Some(stream);
+                return Ok(item);
             }
-            let Ok(choice) = self.handler.select_server().await else {
-                return false;
-            };
-            server = choice.server.clone();
-            let last_event = self.last_event.or(self.handler.request.last_event);
-            error = match open_stream(&mut self.handler, &choice, last_event).await {
-                Ok(ServerReply::Stream(upstream)) => {
-                    self.upstream = upstream;
-                    return true;
-                }
-                Ok(ServerReply::Buffered(response)) => {
-                    let kind = self.handler.check_response(&server, &response);
-                    AttemptError::Failed(kind.unwrap_or(FailureKind::Malformed))
-                }
-                Err(error) => error,
-            };
+            Err(error) => error,
+        };
+        let mut race = AttemptRace::new();
+        let needs_attempt = if error == AttemptError::Failed(FailureKind::Silent) {
+            race.push(RunningAttempt::silent(
+                self.server.clone(),
+                read_reply(stream),
+            ));
+            self.handler.handle_silence(&self.server)
+        } else {
+            // The server stops working on the request before another one begins.
+            drop(stream);
+            match self.handler.handle_failure(&self.server, error) {
+                RetryDecision::Retry => true,
+                RetryDecision::GiveUp(error) => return Err(error),
+            }
+        };
+        self.resume(race, needs_attempt, error).await
+    }
+
+    /// Continues the stream after the last event that the caller has received, with the first server
+    /// that has one.
+    async fn resume(
+        &mut self,
+        race: AttemptRace<ServerReply>,
+        needs_attempt: bool,
+        error: AttemptError,
+    ) -> Result<StreamItem, AttemptError> {
+        let last_event = self.last_event.or(self.handler.request.last_event);
+        let result = self
+            .handler
+            .run_attempts(
+                race,
+                needs_attempt,
+                |handler, choice| start_stream(handler, choice, last_event),
+                |handler, server, reply| {
+                    let kind = check_reply(handler, server, reply);
+                    let is_stream = matches!(reply, ServerReply::Stream(..));
+                    kind.or((!is_stream).then_some(FailureKind::Malformed))
+                },
+            )
+            .await;
+        match result {
+            Ok((server, ServerReply::Stream(stream, item))) => {
+                self.server = server;
+                self.upstream = Some(stream);
+                Ok(item)
+            }
+            Ok((_, ServerReply::Buffered(_))) | Err(Unserved::Unplaced(_)) => Err(error),
+            Err(Unserved::Failed(error, _)) => Err(error),
         }
     }
 }
--- a/crates/verbenahinge/src/gateway/request_handler.rs
+++ b/crates/verbenahinge/src/gateway/request_handler.rs
@@ -1,5 +1,6 @@
 //! Handles one request: selects servers, retries failed attempts and sends the final response.
 
+pub(crate) mod attempts;
 mod final_response;
 
 use std::rc::Rc;
@@ -9,12 +10,10 @@
 use verbenahinge_core::{FailureKind, ServerName, Timestamp, Verdict};
 
 use super::Gateway;
-use super::attempt::{
-    AttemptError, AttemptGuard, BufferedResponse, CallerRequest, attempt_timeout,
-};
+use super::attempt::{AttemptGuard, BufferedResponse, CallerRequest, response_timeout};
+use super::attempt_race::{AttemptRace, RunningAttempt, SignOfLife, SilenceTimeout};
 use super::response::CallerResponse;
 use super::{peers, relay};
-use crate::event_log::LogEvent;
 
 /// Maximum number of servers whose load is queried for one request; with more, each of them would
 /// need the shared prompt parts in memory.
@@ -52,8 +51,8 @@
 /// A request, the attempts made for it so far and what is known about their outcome.
 pub(crate) struct RequestHandler {
     pub(crate) gateway: Rc<Gateway>,
-    pub(crate) call: Call,
-    pub(crate) request: CallerRequest,
+    pub(crate) call: Rc<Call>,
+    pub(crate) request: Rc<CallerRequest>,
     tried_servers: Vec<ServerName>,
     /// Number of attempts, without those that failed to connect.
     attempt_count: u32,
@@ -64,20 +63,12 @@
     _guard: RequestGuard,
 }
 
-/// How a request continues after a failed attempt.
-pub(crate) enum RetryDecision {
-    /// Try another server.
-    Retry,
-    /// Send the final response.
-    GiveUp(AttemptError),
-}
-
 impl RequestHandler {
     pub(crate) fn new(guard: RequestGuard, call: Call, request: CallerRequest) -> Self {
         Self {
             gateway: Rc::clone(&guard.gateway),
-            call,
-            request,
+            call: Rc::new(call),
+            request: Rc::new(request),
             tried_servers: Vec::new(),
             attempt_count: 0,
             verdict: Verdict::NotRun,
@@ -148,128 +139,60 @@
         attempt_guard
     }
 
-    pub(crate) fn record_first_event(&mut self, server: &str) {
+    /// Records the time of the first event for the caller.
+    pub(crate) fn note_first_event(&mut self) {
         let now = self.gateway.now();
         self.first_event_at.get_or_insert(now);
-        let mut state = self.gateway.state.borrow_mut();
-        state.note_first_token(now, self.call.id, server);
-    }
-
-    /// Records a failed attempt and decides whether to retry.
-    pub(crate) fn handle_failure(
-        &mut self,
-        server: &ServerName,
-        error: AttemptError,
-    ) -> RetryDecision {
-        let now = self.gateway.now();
-        let AttemptError::Failed(kind) = error else {
-            self.verdict = Verdict::MayHaveRun;
-            return RetryDecision::GiveUp(error);
-        };
-        self.verdict = self.verdict.combine(kind.verdict());
-        if kind == FailureKind::ConnectFailed {
-            self.attempt_count = self.attempt_count.saturating_sub(1);
-        }
-        let ejected = {
-            let mut state = self.gateway.state.borrow_mut();
-            state.note_failure(now, server, kind)
-        };
-        LogEvent::AttemptFailed.log(&[
-            ("request_id", &self.log_id()),
-            ("server", server),
-            ("failure", &kind),
-            ("attempt", &self.attempt_count),
-            ("after_ms", &self.elapsed_ms()),
-        ]);
-        if ejected {
-            LogEvent::ServerEjected.log(&[("server", server), ("failure", &kind)]);
-        }
-        if kind == FailureKind::ConnectionLost {
-            self.gateway
-                .detect_crash(server.clone(), self.call.fingerprint);
-        }
-        let allows_retry = {
-            let state = self.gateway.state.borrow();
-            state.allows_retry(self.call.fingerprint, kind)
-        };
-        if allows_retry && self.try_spend_retry() && self.response_deadline() > now {
-            RetryDecision::Retry
-        } else {
-            RetryDecision::GiveUp(error)
-        }
     }
 
-    /// Returns whether the route and the retry budget allow another attempt, and if so spends one
-    /// retry of the budget.
-    fn try_spend_retry(&self) -> bool {
-        if self.attempt_count >= self.call.route.max_attempts {
-            return false;
-        }
-        let is_allowed = match self.verdict {
-            Verdict::NotRun => true,
-            Verdict::MayHaveRun => self.call.route.is_repeatable(),
-        };
-        if !is_allowed {
-            return false;
-        }
+    /// Records that a server has begun to answer.
+    pub(crate) fn record_first_token(&self, server: &str) {
         let now = self.gateway.now();
         let mut state = self.gateway.state.borrow_mut();
-        state.spend_retry(now, &self.call)
+        state.note_first_token(now, self.call.id, server);
     }
 
     /// Serves a request whose response is read completely before it is forwarded.
     pub(crate) async fn serve_buffered(mut self) -> CallerResponse {
-        loop {
-            let choice = match self.select_server().await {
-                Ok(choice) => choice,
-                Err(reason) => return self.respond_unplaced(reason),
-            };
-            let server = choice.server.clone();
-            let attempt_guard = self.begin_attempt(&choice);
-            let result = self.attempt_buffered(&choice).await;
-            drop(attempt_guard);
-            let error = match result {
-                Ok(response) => match self.check_response(&server, &response) {
-                    None => return self.forward_response(&server, response),
-                    Some(kind) => match self.handle_failure(&server, AttemptError::Failed(kind)) {
-                        RetryDecision::Retry => continue,
-                        RetryDecision::GiveUp(_) if kind == FailureKind::ServerError => {
-                            return self.forward_response(&server, response);
-                        }
-                        RetryDecision::GiveUp(error) => error,
-                    },
-                },
-                Err(error) => match self.handle_failure(&server, error) {
-                    RetryDecision::Retry => continue,
-                    RetryDecision::GiveUp(error) => error,
-                },
-            };
-            return self.respond_failed(error);
+        let result = self
+            .run_attempts(
+                AttemptRace::new(),
+                true,
+                Self::start_buffered,
+                |handler, server, response| handler.check_response(server, response),
+            )
+            .await;
+        match result {
+            Ok((server, response)) => self.forward_response(&server, response),
+            Err(unserved) => self.respond_unserved(unserved),
         }
     }
 
-    async fn attempt_buffered(
-        &self,
-        choice: &ServerChoice,
-    ) -> Result<BufferedResponse, AttemptError> {
-        let now = self.gateway.now();
+    fn start_buffered(&mut self, choice: &ServerChoice) -> RunningAttempt<BufferedResponse> {
+        let guard = self.begin_attempt(choice);
         let can_retry = self.attempt_count < self.call.route.max_attempts;
-        let attempt_deadline = now.saturating_add(attempt_timeout(&self.call, can_retry));
-        let deadline = self.response_deadline().min(attempt_deadline);
-        let gateway = &self.gateway;
-        let attempt = async {
+        let silence_timeout = response_timeout(&self.call, can_retry)
+            .map(|timeout| SilenceTimeout::new(&self.gateway, timeout, SignOfLife::Response));
+        let deadline = self.response_deadline();
+        let (gateway, call, request) = self.shared_parts();
+        let choice = choice.clone();
+        let server = choice.server.clone();
+        RunningAttempt::new(server, silence_timeout, async move {
+            let _guard = guard;
             let open = gateway
-                .send_request(&self.call, &self.request, choice, None, deadline)
+                .send_request(&call, &request, &choice, None, deadline)
                 .await?;
             gateway.buffer_response(open, deadline).await
-        };
-        let result = attempt.await;
-        match result {
-            Err(AttemptError::TimeUp) if deadline < self.response_deadline() => {
-                Err(AttemptError::Failed(FailureKind::Silent))
-            }
-            other => other,
-        }
+        })
+    }
+
+    /// What an attempt needs while the handler goes on.
+    pub(crate) fn shared_parts(&self) -> (Rc<Gateway>, Rc<Call>, Rc<CallerRequest>) {
+        (
+            Rc::clone(&self.gateway),
+            Rc::clone(&self.call),
+            Rc::clone(&self.request),
+        )
     }
 
     /// Returns why a response counts as a failure; otherwise records a success of the server.
--- /dev/null
+++ b/crates/verbenahinge/src/gateway/request_handler/attempts.rs
@@ -0,0 +1,220 @@
+//! Attempts to serve a request: failures, silent servers and retries.
+
+use std::rc::Rc;
+
+use strum::IntoStaticStr;
+use verbenahinge_core::gateway::{PlacementError, ServerChoice};
+use verbenahinge_core::{FailureKind, ServerName, Verdict};
+
+use super::RequestHandler;
+use crate::event_log::LogEvent;
+use crate::gateway::attempt::AttemptError;
+use crate::gateway::attempt_race::{AttemptRace, EndedAttempt, RaceEvent, RunningAttempt};
+
+/// How a request continues after a failed attempt.
+pub(crate) enum RetryDecision {
+    /// Try another server.
+    Retry,
+    /// Send the final response, unless another attempt is in flight.
+    GiveUp(AttemptError),
+}
+
+/// Why a request is not tried at another server.
+#[derive(Clone, Copy, Debug, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+enum NoRetry {
+    /// The deadline has passed.
+    Deadline,
+    /// The route allows no further attempt.
+    Attempts,
+    /// The request may have run and must not run twice.
+    NotRepeatable,
+    /// The request may crash servers.
+    Crashes,
+    /// The retry budget is used up.
+    Budget,
+}
+
+/// Why no attempt produced a response to forward.
+pub(crate) enum Unserved<T> {
+    /// No server could be selected, and no attempt was in flight.
+    Unplaced(PlacementError),
+    /// The last attempt failed; holds its server and output if there was one.
+    Failed(AttemptError, Option<(ServerName, T)>),
+}
+
+impl RequestHandler {
+    /// Records a failed attempt and decides whether to retry.
+    pub(crate) fn handle_failure(
+        &mut self,
+        server: &ServerName,
+        error: AttemptError,
+    ) -> RetryDecision {
+        self.record_failure(server, error);
+        let AttemptError::Failed(kind) = error else {
+            return RetryDecision::GiveUp(error);
+        };
+        match self.try_spend_retry(kind) {
+            Ok(()) => RetryDecision::Retry,
+            Err(_) => RetryDecision::GiveUp(error),
+        }
+    }
+
+    /// Records a failed attempt.
+    fn record_failure(&mut self, server: &ServerName, error: AttemptError) {
+        let AttemptError::Failed(kind) = error else {
+            self.verdict = Verdict::MayHaveRun;
+            return;
+        };
+        self.verdict = self.verdict.combine(kind.verdict());
+        if kind == FailureKind::ConnectFailed {
+            self.attempt_count = self.attempt_count.saturating_sub(1);
+        }
+        LogEvent::AttemptFailed.log(&[
+            ("request_id", &self.log_id()),
+            ("server", server),
+            ("failure", &kind),
+            ("attempt", &self.attempt_count),
+            ("after_ms", &self.elapsed_ms()),
+        ]);
+        self.note_server_failure(server, kind);
+        if kind == FailureKind::ConnectionLost {
+            self.gateway
+                .detect_crash(server.clone(), self.call.fingerprint);
+        }
+    }
+
+    fn note_server_failure(&self, server: &ServerName, kind: FailureKind) {
+        let ejected = {
+            let mut state = self.gateway.state.borrow_mut();
+            state.note_failure(self.gateway.now(), server, kind)
+        };
+        if ejected {
+            LogEvent::ServerEjected.log(&[("server", server), ("failure", &kind)]);
+        }
+    }
+
+    /// Records that the server of an attempt is silent, and returns whether to try another server
+    /// beside it.
+    pub(crate) fn handle_silence(&mut self, server: &ServerName) -> bool {
+        let kind = FailureKind::Silent;
+        self.verdict = self.verdict.combine(kind.verdict());
+        let retry = self.try_spend_retry(kind);
+        LogEvent::AttemptSilent.log(&[
+            ("request_id", &self.log_id()),
+            ("server", server),
+            ("attempt", &self.attempt_count),
+            ("after_ms", &self.elapsed_ms()),
+            ("retry", &retry.map_or_else(Into::<&str>::into, |()| "yes")),
+        ]);
+        self.note_server_failure(server, kind);
+        retry.is_ok()
+    }
+
+    /// Spends one retry of the budget, or returns why another attempt is not allowed.
+    fn try_spend_retry(&self, kind: FailureKind) -> Result<(), NoRetry> {
+        let now = self.gateway.now();
+        let route = &self.call.route;
+        if self.response_deadline() <= now {
+            return Err(NoRetry::Deadline);
+        }
+        if self.attempt_count >= route.max_attempts {
+            return Err(NoRetry::Attempts);
+        }
+        if self.verdict == Verdict::MayHaveRun && !route.is_repeatable() {
+            return Err(NoRetry::NotRepeatable);
+        }
+        let mut state = self.gateway.state.borrow_mut();
+        if !state.allows_retry(self.call.fingerprint, kind) {
+            return Err(NoRetry::Crashes);
+        }
+        if !state.spend_retry(now, &self.call) {
+            return Err(NoRetry::Budget);
+        }
+        Ok(())
+    }
+
+    /// Runs attempts until one of them has an output that `check` accepts.
+    ///
+    /// An attempt whose server is silent stays in the race beside the next one.
+    pub(crate) async fn run_attempts<T>(
+        &mut self,
+        mut race: AttemptRace<T>,
+        mut needs_attempt: bool,
+        start: impl Fn(&mut Self, &ServerChoice) -> RunningAttempt<T>,
+        check: impl Fn(&Self, &ServerName, &T) -> Option<FailureKind>,
+    ) -> Result<(ServerName, T), Unserved<T>> {
+        let gateway = Rc::clone(&self.gateway);
+        loop {
+            if needs_attempt {
+                match self.select_server().await {
+                    Ok(choice) => race.push(start(self, &choice)),
+                    Err(reason) => {
+                        self.log_unplaced(reason);
+                        if race.is_empty() {
+                            return Err(Unserved::Unplaced(reason));
+                        }
+                    }
+                }
+            }
+            let ended = match race.next(&gateway).await {
+                RaceEvent::Ended(ended) => ended,
+                RaceEvent::Silent { server } => {
+                    needs_attempt = self.handle_silence(&server);
+                    continue;
+                }
+            };
+            let EndedAttempt {
+                server,
+                result,
+                was_silent,
+            } = ended;
+            if was_silent && result.is_ok() {
+                self.record_end_of_silence(&server);
+            }
+            let (error, output) = match result {
+                Err(error) => (error, None),
+                Ok(output) => match check(self, &server, &output) {
+                    None => return Ok((server, output)),
+                    Some(kind) => (AttemptError::Failed(kind), Some((server.clone(), output))),
+                },
+            };
+            if was_silent && !race.is_empty() {
+                // The next attempt began when the server fell silent.
+                self.record_failure(&server, error);
+                needs_attempt = false;
+                continue;
+            }
+            match self.handle_failure(&server, error) {
+                RetryDecision::Retry => needs_attempt = true,
+                RetryDecision::GiveUp(AttemptError::Failed(_)) if !race.is_empty() => {
+                    needs_attempt = false;
+                }
+                RetryDecision::GiveUp(error) => return Err(Unserved::Failed(error, output)),
+            }
+        }
+    }
+
+    fn record_end_of_silence(&self, server: &ServerName) {
+        LogEvent::AttemptContinued.log(&[
+            ("request_id", &self.log_id()),
+            ("server", server),
+            ("after_ms", &self.elapsed_ms()),
+        ]);
+        let now = self.gateway.now();
+        let mut state = self.gateway.state.borrow_mut();
+        state.note_answer(now, server, true);
+    }
+
+    /// Logs why no server was found for a retry; the final response tells it for a first attempt.
+    fn log_unplaced(&self, reason: PlacementError) {
+        if self.tried_servers.is_empty() {
+            return;
+        }
+        LogEvent::RetryUnplaced.log(&[
+            ("request_id", &self.log_id()),
+            ("reason", &format!("{reason:?}")),
+            ("after_ms", &self.elapsed_ms()),
+        ]);
+    }
+}
--- a/crates/verbenahinge/src/gateway/request_handler/final_response.rs
+++ b/crates/verbenahinge/src/gateway/request_handler/final_response.rs
@@ -5,11 +5,12 @@
 
 use http_body_util::Full;
 use hyper::{Response, StatusCode};
-use verbenahinge_core::Verdict;
 use verbenahinge_core::gateway::{PlacementError, Prompt, RETRY_AFTER_MIN, retry_after};
+use verbenahinge_core::{FailureKind, Verdict};
 use verbenahinge_platform::http_headers;
 
 use super::RequestHandler;
+use super::attempts::Unserved;
 use crate::event_log::LogEvent;
 use crate::gateway::attempt::{AttemptError, BufferedResponse};
 use crate::gateway::response::{CallerResponse, ResponseBody, error_response};
@@ -35,7 +36,7 @@
     }
 
     /// Responds to a request for which no server could be selected.
-    pub(crate) fn respond_unplaced(self, reason: PlacementError) -> CallerResponse {
+    fn respond_unplaced(self, reason: PlacementError) -> CallerResponse {
         let excess = match reason {
             PlacementError::NoServer => NO_SERVER_RETRY_DELAY,
             PlacementError::Limited(wait) => wait.min(self.call.time_left(self.gateway.now())),
@@ -56,8 +57,21 @@
         )
     }
 
+    /// Responds to a request that no server has answered; the failure of a server is forwarded as it
+    /// is.
+    pub(crate) fn respond_unserved(self, unserved: Unserved<BufferedResponse>) -> CallerResponse {
+        match unserved {
+            Unserved::Unplaced(reason) => self.respond_unplaced(reason),
+            Unserved::Failed(
+                AttemptError::Failed(FailureKind::ServerError),
+                Some((server, response)),
+            ) => self.forward_response(&server, response),
+            Unserved::Failed(error, _) => self.respond_failed(error),
+        }
+    }
+
     /// Responds to a request whose attempts failed.
-    pub(crate) fn respond_failed(self, error: AttemptError) -> CallerResponse {
+    fn respond_failed(self, error: AttemptError) -> CallerResponse {
         let cause = match error {
             AttemptError::Failed(kind) => kind.to_string(),
             AttemptError::TimeUp => "time_up".to_owned(),
