fix(gateway): a retry that finds no server is not counted against the retry budget

What callers saw: while a service has one usable server, each failed request used up a retry without being sent anywhere. When a second server came, requests that could have been retried there ended as 502 until the window of 10 s had passed.

Cause: the budget was spent before a server was looked for, and kept when there was none.

Ruled out: spending the retry after the selection, which lets several requests that wait for a permit or a queried load pass the same check together.

Change: a retry that finds no server is taken out of the window again.

Evidence: unplaced_retries_use_up_budget failed before ('left: 1, right: 2' runs after 70 requests with one server), and passes.

--- a/crates/verbenahinge-core/src/gateway/retry_window.rs
+++ b/crates/verbenahinge-core/src/gateway/retry_window.rs
@@ -63,6 +63,11 @@
         true
     }
 
+    /// Removes the latest retry, which found no server.
+    pub fn refund(&mut self) {
+        self.retries.pop_back();
+    }
+
     fn expire(&mut self, now: Timestamp) {
         let since = now.saturating_sub(self.bounds.retry_window);
         for times in [&mut self.requests, &mut self.retries] {
--- a/crates/verbenahinge-core/src/gateway/state.rs
+++ b/crates/verbenahinge-core/src/gateway/state.rs
@@ -4,6 +4,7 @@
 mod demand;
 mod limits;
 mod peer_digest;
+mod retries;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -328,16 +329,6 @@
         candidates
     }
 
-    /// Records a retry in the window of the call's service if it permits one; returns whether it
-    /// does.
-    pub fn spend_retry(&mut self, now: Timestamp, call: &Call) -> bool {
-        let vm_count = self.vm_count();
-        self.retry_windows
-            .entry(call.service.clone())
-            .or_insert_with(|| RetryWindow::new(self.bounds))
-            .try_spend(now, vm_count)
-    }
-
     /// Records that a request is sent to a server.
     pub fn note_sent(&mut self, now: Timestamp, call: &Call, choice: &ServerChoice) {
         if let Some(backend) = self.backends.get_mut(&choice.server) {
--- a/crates/verbenahinge/src/gateway/request_handler/attempts.rs
+++ b/crates/verbenahinge/src/gateway/request_handler/attempts.rs
@@ -150,7 +150,7 @@
                 match self.select_server().await {
                     Ok(choice) => race.push(start(self, &choice)),
                     Err(reason) => {
-                        self.log_unplaced(reason);
+                        self.note_unplaced(reason);
                         if race.is_empty() {
                             return Err(Unserved::Unplaced(reason));
                         }
@@ -206,11 +206,13 @@
         state.note_answer(now, server, true);
     }
 
-    /// Logs why no server was found for a retry; the final response tells it for a first attempt.
-    fn log_unplaced(&self, reason: PlacementError) {
+    /// Records that no server was found for a retry; the final response tells why there was none for a
+    /// first attempt.
+    fn note_unplaced(&self, reason: PlacementError) {
         if self.tried_servers.is_empty() {
             return;
         }
+        self.gateway.state.borrow_mut().refund_retry(&self.call);
         LogEvent::RetryUnplaced.log(&[
             ("request_id", &self.log_id()),
             ("reason", &format!("{reason:?}")),
--- a/crates/verbenahinge/tests/gateway_responses.rs
+++ b/crates/verbenahinge/tests/gateway_responses.rs
@@ -121,3 +121,23 @@
         assert_eq!(fleet.call(0, &request).await.status, 200);
     }
 }
+
+/// Guards against retries that find no server and yet count against the retry budget.
+#[actix_rt::test]
+async fn unplaced_retries_use_up_budget() {
+    /// More than the retry budget allows.
+    const FAILING_REQUESTS: usize = 70;
+    let options = GatewayFleetOptions::new(CONFIG).servers(1);
+    let mut fleet = GatewayFleet::start(BIN, options).await;
+    fleet.set_server_fault(0, ServerFault::LoseAnswer, 0).await;
+    for count in 0..FAILING_REQUESTS {
+        let request = GatewayRequest::new(format!("r{count}"), "/read/x");
+        assert_eq!(fleet.call(0, &request).await.status, 502);
+    }
+    fleet.add_server("server-1", "service").await;
+    fleet.set_server_fault(1, ServerFault::LoseAnswer, 0).await;
+    fleet.wait_for_log(0, "server=server-1 change=added").await;
+    let request = GatewayRequest::new("last", "/read/x");
+    assert_eq!(fleet.call(0, &request).await.status, 502);
+    assert_eq!(fleet.runs_of_request("last").await.len(), 2);
+}
