fix(gateway): a late stream is resumed, since its caller waits for the next event

What callers saw: a stream whose server crashed or fell silent more than two seconds (or four targets) after its arrival broke off, although other servers were free.

Cause: the longest admissible wait for a first event is counted from the arrival of the request. For a stream that has run longer it is zero, so every engine with an expected wait counts as too late. The caller's patience restarts with each event that it receives. Class: a deadline measured from the wrong event.

Ruled out: a lack of places. The log has TooLate(32 ms) for a caller that waits two seconds.

Change: Call::waiting_since is the arrival, or the latest event that the caller received. A resumption is placed wherever the caller would still wait, as a retry of a refused caller is.

Evidence: late_stream_breaks failed on (events 1 to 5 of 12, broken off), resumption_counts_from_arrival asks for a place nine seconds after the arrival; both pass.

--- a/crates/verbenahinge-bench/src/gateway_costs.rs
+++ b/crates/verbenahinge-bench/src/gateway_costs.rs
@@ -106,6 +106,7 @@
         }),
         fingerprint: id,
         arrived: now,
+        waiting_since: now,
         deadline: now + route.timeout,
     }
 }
--- a/crates/verbenahinge-core/src/gateway/call.rs
+++ b/crates/verbenahinge-core/src/gateway/call.rs
@@ -27,6 +27,9 @@
     pub fingerprint: Fingerprint,
     /// Time at which the request arrived.
     pub arrived: Timestamp,
+    /// Time since which the caller waits for the next event: the arrival, or the latest event that it
+    /// received.
+    pub waiting_since: Timestamp,
     /// Time at which the caller or the route stops waiting, whichever is first.
     pub deadline: Timestamp,
 }
@@ -34,7 +37,7 @@
 /// Share of a route's timeout; a caller that grants less time is assumed to be retrying.
 const RETRY_TIMEOUT_SHARE: f64 = 0.97;
 
-/// Minimum time that callers wait for the first event of a stream.
+/// Minimum time that callers wait for the next event of a stream.
 const MIN_PATIENCE: Duration = Duration::from_secs(2);
 
 /// Patience of callers as a multiple of the route's target.
@@ -63,12 +66,17 @@
         granted < self.route.timeout.mul_f64(RETRY_TIMEOUT_SHARE)
     }
 
-    /// Longest wait for the first event, counted from `now`, before the caller is assumed to give
-    /// up.
+    /// Returns whether the caller has received part of the response.
+    #[must_use]
+    pub fn is_resumption(&self) -> bool {
+        self.waiting_since > self.arrived
+    }
+
+    /// Longest wait for the next event, counted from `now`, before the caller is assumed to give up.
     #[must_use]
     pub fn patience(&self, now: Timestamp) -> Duration {
         let usual = MIN_PATIENCE.max(self.route.latency_target * PATIENCE_TARGET_FACTOR);
-        let waited = now.saturating_sub(self.arrived);
+        let waited = now.saturating_sub(self.waiting_since);
         usual.saturating_sub(waited).min(self.time_left(now))
     }
 }
--- a/crates/verbenahinge-core/src/gateway/placement.rs
+++ b/crates/verbenahinge-core/src/gateway/placement.rs
@@ -310,11 +310,11 @@
     /// Returns the longest expected wait for the first event at which a call is admitted.
     ///
     /// Under sustained overload, admitting more requests makes all of them late, so a new request
-    /// must be expected within its target. A caller that was refused before is admitted even if it
-    /// will be late.
+    /// must be expected within its target. A caller that was refused before, or that has received part
+    /// of a stream, is admitted even if it will be late.
     fn max_admitted_wait(&self, call: &Call) -> Duration {
         let patience = call.patience(self.now).mul_f64(PATIENCE_SHARE);
-        if call.is_likely_retry() {
+        if call.is_likely_retry() || call.is_resumption() {
             return patience;
         }
         patience.min(call.route.latency_target.mul_f64(ADMITTED_WAIT_SHARE))
--- a/crates/verbenahinge-core/tests/limit_sharing.rs
+++ b/crates/verbenahinge-core/tests/limit_sharing.rs
@@ -77,6 +77,7 @@
         prompt: None,
         fingerprint: id,
         arrived: now,
+        waiting_since: now,
         deadline: now + Duration::from_secs(2),
     }
 }
--- a/crates/verbenahinge-core/tests/prompt_placement.rs
+++ b/crates/verbenahinge-core/tests/prompt_placement.rs
@@ -237,6 +237,19 @@
     assert!(state.choose_server(now, &call, &[]).is_ok());
 }
 
+/// Guards against a stream that finds no engine because it began longer ago than callers wait for a
+/// first event.
+#[test]
+fn resumption_counts_from_arrival() {
+    let mut state = state();
+    let arrived = Duration::from_secs(1);
+    let now = arrived + Duration::from_secs(9);
+    let mut call = long_call(1, 7, arrived);
+    assert!(state.choose_server(now, &call, &[]).is_err());
+    call.waiting_since = now;
+    assert!(state.choose_server(now, &call, &[]).is_ok());
+}
+
 #[test]
 fn retries_keep_the_budget() {
     let mut state = state();
--- a/crates/verbenahinge-core/tests/support/engines.rs
+++ b/crates/verbenahinge-core/tests/support/engines.rs
@@ -51,6 +51,7 @@
         }),
         fingerprint: id,
         arrived: now,
+        waiting_since: now,
         deadline: now + route.timeout,
     }
 }
--- a/crates/verbenahinge/src/gateway/frontend.rs
+++ b/crates/verbenahinge/src/gateway/frontend.rs
@@ -190,6 +190,7 @@
         account: matched.account,
         route: matched.route,
         arrived,
+        waiting_since: arrived,
         deadline: arrived + timeout,
     };
     let is_quarantined = {
--- a/crates/verbenahinge/src/gateway/relay.rs
+++ b/crates/verbenahinge/src/gateway/relay.rs
@@ -4,6 +4,7 @@
 //! after the last event that the caller has received. A silent server keeps its connection until
 //! another one has an event, since it may be sound and go on.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -11,7 +12,7 @@
 use hyper::header::CONTENT_LENGTH;
 use hyper::{Response, StatusCode};
 use verbenahinge_core::gateway::ServerChoice;
-use verbenahinge_core::{FailureKind, ServerName};
+use verbenahinge_core::{FailureKind, ServerName, Timestamp};
 use verbenahinge_platform::http_headers;
 
 use super::attempt::{AttemptError, BufferedResponse, OpenResponse};
@@ -149,11 +150,13 @@
     let mut headers = http_headers::without_hop_by_hop(stream.headers());
     // A stream that resumes at another server may have a different length.
     headers.remove(CONTENT_LENGTH);
+    let arrived = handler.call.arrived;
     let relay = Relay {
         server: stream.server().clone(),
         handler,
         upstream: Some(stream),
         last_event: None,
+        last_event_at: arrived,
         pending_item: Some(first_item),
         has_failed: false,
     };
@@ -175,6 +178,7 @@
     /// `None` after a failure or the end.
     upstream: Option<Box<ServerStream>>,
     last_event: Option<u64>,
+    last_event_at: Timestamp,
     pending_item: Option<StreamItem>,
     has_failed: bool,
 }
@@ -219,6 +223,7 @@
 
     /// Appends the events that are already buffered to the first one.
     fn merge_buffered_events(&mut self, first_event: RawEvent) -> Bytes {
+        self.last_event_at = self.handler.gateway.now();
         self.last_event = first_event.id.or(self.last_event);
         let mut chunk: Option<BytesMut> = None;
         while let Some(event) = self.next_buffered_event() {
@@ -291,6 +296,7 @@
         error: AttemptError,
     ) -> Result<StreamItem, AttemptError> {
         let last_event = self.last_event.or(self.handler.request.last_event);
+        Rc::make_mut(&mut self.handler.call).waiting_since = self.last_event_at;
         let result = self
             .handler
             .run_attempts(
--- a/crates/verbenahinge/tests/gateway_streams.rs
+++ b/crates/verbenahinge/tests/gateway_streams.rs
@@ -123,3 +123,29 @@
     let counts = [fleet.runs(0).await.len(), fleet.runs(1).await.len()];
     assert!(counts == [6, 0] || counts == [0, 6], "{counts:?}");
 }
+
+/// Guards against a stream that is not resumed because it has run for longer than callers wait for a
+/// first event.
+#[actix_rt::test]
+async fn late_stream_breaks() {
+    let fleet = start().await;
+    let warm_up = fleet.call(0, &stream_request("warm-up", "/stream/x")).await;
+    assert_eq!(warm_up.status, 200);
+    let first = usize::from(fleet.runs(0).await.is_empty());
+    for (server, fault, work_ms) in [
+        (first, ServerFault::BreakOff, 800),
+        (1 - first, ServerFault::None, 5),
+    ] {
+        let faults = ServerFaults {
+            fault,
+            work_ms,
+            events: 12,
+            ..ServerFaults::default()
+        };
+        fleet.set_server_faults(server, &faults).await;
+    }
+    let response = fleet.call(0, &stream_request("s1", "/stream/x")).await;
+    let expected: Vec<u64> = (1..=12).collect();
+    assert_eq!(response.event_ids(), expected);
+    assert!(response.is_complete);
+}
