fix(gateway): a request at a silent server is tried again at servers that become available

What callers saw: a stream whose server had fallen silent for good broke off at its deadline, although a second server had registered, or had got room, seconds before.

Cause: a second server was looked for once, at the moment of the silence. Class: a decision that is made once from a state that changes.

Change: while no second attempt could be placed, it is looked for again every 500 ms until the deadline.

--- a/crates/verbenahinge/src/gateway/attempt_race.rs
+++ b/crates/verbenahinge/src/gateway/attempt_race.rs
@@ -103,8 +103,12 @@
 pub(super) enum RaceEvent<T> {
     /// An attempt ended.
     Ended(EndedAttempt<T>),
-    /// The server of the latest attempt is silent; reported once for each attempt.
-    Silent { server: ServerName },
+    /// The server of the latest attempt is silent.
+    Silent {
+        server: ServerName,
+        /// Whether this was reported before; see [`AttemptRace::watch_again`].
+        is_repeated: bool,
+    },
 }
 
 /// Attempts of one request that are in flight, in the order of their start.
@@ -127,6 +131,14 @@
         self.attempts.push(attempt);
     }
 
+    /// Reports the silence of the latest attempt again after a pause, if it goes on until then.
+    pub(super) fn watch_again(&mut self, gateway: &Gateway, pause: Duration) {
+        if let Some(latest) = self.attempts.last_mut() {
+            let timeout = SilenceTimeout::new(gateway, pause, SignOfLife::Response);
+            latest.silence_timeout = Some(timeout);
+        }
+    }
+
     /// Waits until an attempt ends or the server of the latest one is silent.
     pub(super) async fn next(&mut self, gateway: &Gateway) -> RaceEvent<T> {
         loop {
@@ -140,9 +152,12 @@
             }
             if let Some(latest) = self.attempts.last_mut() {
                 latest.silence_timeout = None;
-                latest.was_silent = true;
+                let is_repeated = std::mem::replace(&mut latest.was_silent, true);
                 let server = latest.server.clone();
-                return RaceEvent::Silent { server };
+                return RaceEvent::Silent {
+                    server,
+                    is_repeated,
+                };
             }
         }
     }
--- a/crates/verbenahinge/src/gateway/request_handler/attempts.rs
+++ b/crates/verbenahinge/src/gateway/request_handler/attempts.rs
@@ -1,6 +1,7 @@
 //! Attempts to serve a request: failures, silent servers and retries.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use strum::IntoStaticStr;
 use verbenahinge_core::gateway::{PlacementError, ServerChoice};
@@ -11,6 +12,9 @@
 use crate::gateway::attempt::AttemptError;
 use crate::gateway::attempt_race::{AttemptRace, EndedAttempt, RaceEvent, RunningAttempt};
 
+/// Time between two looks for a server for a request whose own one is silent.
+const PLACEMENT_RETRY_INTERVAL: Duration = Duration::from_millis(500);
+
 /// How a request continues after a failed attempt.
 pub(crate) enum RetryDecision {
     /// Try another server.
@@ -154,12 +158,19 @@
                         if race.is_empty() {
                             return Err(Unserved::Unplaced(reason));
                         }
+                        race.watch_again(&gateway, PLACEMENT_RETRY_INTERVAL);
                     }
                 }
             }
             let ended = match race.next(&gateway).await {
                 RaceEvent::Ended(ended) => ended,
-                RaceEvent::Silent { server } => {
+                RaceEvent::Silent {
+                    is_repeated: true, ..
+                } => {
+                    needs_attempt = self.try_spend_retry(FailureKind::Silent).is_ok();
+                    continue;
+                }
+                RaceEvent::Silent { server, .. } => {
                     needs_attempt = self.handle_silence(&server);
                     continue;
                 }
--- a/crates/verbenahinge/tests/silent_servers.rs
+++ b/crates/verbenahinge/tests/silent_servers.rs
@@ -5,7 +5,7 @@
 
 use futures_util::future::join_all;
 use verbenahinge_emulator::scripted_server::{ExecutedRequest, ServerFault, ServerFaults};
-use verbenahinge_testkit::{GatewayFleet, GatewayFleetOptions, GatewayRequest};
+use verbenahinge_testkit::{CallerConnection, GatewayFleet, GatewayFleetOptions, GatewayRequest};
 
 const BIN: &str = env!("CARGO_BIN_EXE_verbenahinge");
 const CONFIG: &str = include_str!("data/gateway.json");
@@ -184,3 +184,27 @@
     actix_rt::time::sleep(Duration::from_millis(LONG_PAUSE_MS)).await;
     assert!(!run_of(&fleet, first, "s1").await.is_complete);
 }
+
+/// Guards against a silent stream that is not tried at a server that becomes available.
+#[actix_rt::test]
+async fn later_server_unused() {
+    let mut fleet = start(1).await;
+    set_pause(&fleet, 0, ServerFault::Stall, 0).await;
+    let address = fleet.listen_address(0);
+    let call = actix_rt::spawn(async move {
+        let mut connection = CallerConnection::open(address)
+            .await
+            .expect("a connection to the VM");
+        let response = connection.call(&stream_request("s1", 1)).await;
+        response.expect("no response from the VM")
+    });
+    fleet
+        .wait_for_log(0, "name=attempt_silent request_id=s1")
+        .await;
+    fleet.add_server("server-1", "service").await;
+    let response = call.await.expect("the call does not panic");
+    assert_eq!(response.event_ids(), [1, 2, 3, 4, 5]);
+    assert!(response.is_complete);
+    let log = fleet.read_log(0);
+    assert_eq!(log.matches("name=attempt_silent request_id=s1").count(), 1);
+}
