fix(core): one silence of a server counts once, and forgets nothing

What callers saw: after a pause of a second, a sound server got no requests for up to four seconds, shared prompt parts were prefilled again elsewhere, and healthy engines refused requests as too late.

Cause: each request at the server recorded the same silence as a failure of its own (six streams: three ejections, 2.8 s); an ejection cleared the parts that the server holds; and first tokens after the pause entered the prefill rate. Class: one event of a server taken for many, and for a loss of its state.

Change: a silence counts until the server is ejected. It keeps the server's prompt parts, and requests that saw it are no sample of the prefill rate.

--- a/crates/verbenahinge-core/src/gateway/backend.rs
+++ b/crates/verbenahinge-core/src/gateway/backend.rs
@@ -54,6 +54,8 @@
     tokens_to_first: f64,
     memory_tokens: u32,
     prefilling: bool,
+    /// Whether the server has been silent since the request was sent.
+    saw_silence: bool,
     interactive: bool,
     shared_parts: Vec<PartId>,
 }
@@ -141,6 +143,7 @@
             tokens_to_first,
             memory_tokens,
             prefilling: true,
+            saw_silence: false,
             interactive,
             shared_parts,
         };
@@ -159,7 +162,8 @@
         }
         request.prefilling = false;
         let waited_ms = now.saturating_sub(request.sent).as_secs_f64() * 1000.0;
-        if request.tokens_to_first >= MIN_SAMPLE_TOKENS && waited_ms > 0.0 {
+        let is_sample = request.tokens_to_first >= MIN_SAMPLE_TOKENS && !request.saw_silence;
+        if is_sample && waited_ms > 0.0 {
             let (least, most) = PREFILL_RATE_RANGE;
             let sample = (request.tokens_to_first / waited_ms).clamp(least, most);
             self.prefill_rate += PREFILL_RATE_GAIN * (sample - self.prefill_rate);
@@ -190,6 +194,9 @@
 
     /// Records a failure; returns whether it ejects the server.
     pub fn note_failure(&mut self, now: Timestamp, kind: FailureKind) -> bool {
+        if kind == FailureKind::Silent {
+            return self.note_silence(now);
+        }
         let is_ejected = self.health.note_failure(now, kind);
         if is_ejected {
             self.cached.clear();
@@ -197,6 +204,17 @@
         is_ejected
     }
 
+    /// Records that the server is silent; returns whether that ejects it.
+    ///
+    /// All requests at the server notice one silence, so it counts only until the server is ejected.
+    /// The server may be sound, and keeps the prompt parts that it has.
+    fn note_silence(&mut self, now: Timestamp) -> bool {
+        for request in self.in_flight.values_mut() {
+            request.saw_silence = true;
+        }
+        !self.is_ejected(now) && self.health.note_failure(now, FailureKind::Silent)
+    }
+
     /// Returns whether the server is ejected and gets no requests.
     #[must_use]
     pub fn is_ejected(&self, now: Timestamp) -> bool {
