fix(gateway): a failure after a silence does not end a server's ejection

Cause: the end of a silence was recorded for any output of the attempt, also for a response that counts as a failure, so a server that answered 500 after its pause counted as answering again. Besides, an attempt that ran into the deadline was passed over when another one had begun, though both share that deadline.

Change: only an output that is used ends a silence, and the deadline ends all attempts.

Evidence: late_failure_is_answer failed before (line 514 attempt_continued for a status 500) and passes.

--- a/crates/verbenahinge/src/gateway/request_handler/attempts.rs
+++ b/crates/verbenahinge/src/gateway/request_handler/attempts.rs
@@ -180,17 +180,19 @@
                 result,
                 was_silent,
             } = ended;
-            if was_silent && result.is_ok() {
-                self.record_end_of_silence(&server);
-            }
             let (error, output) = match result {
                 Err(error) => (error, None),
                 Ok(output) => match check(self, &server, &output) {
-                    None => return Ok((server, output)),
+                    None => {
+                        if was_silent {
+                            self.record_end_of_silence(&server);
+                        }
+                        return Ok((server, output));
+                    }
                     Some(kind) => (AttemptError::Failed(kind), Some((server.clone(), output))),
                 },
             };
-            if was_silent && !race.is_empty() {
+            if was_silent && !race.is_empty() && error != AttemptError::TimeUp {
                 // The next attempt began when the server fell silent.
                 self.record_failure(&server, error);
                 needs_attempt = false;
--- a/crates/verbenahinge/tests/silent_servers.rs
+++ b/crates/verbenahinge/tests/silent_servers.rs
@@ -208,3 +208,23 @@
     let log = fleet.read_log(0);
     assert_eq!(log.matches("name=attempt_silent request_id=s1").count(), 1);
 }
+
+/// Guards against a failure after a silence that counts as an answer of the server.
+#[actix_rt::test]
+async fn late_failure_is_answer() {
+    let fleet = start(1).await;
+    let faults = ServerFaults {
+        fault: ServerFault::Fail,
+        work_ms: 900,
+        ..ServerFaults::default()
+    };
+    fleet.set_server_faults(0, &faults).await;
+    let response = fleet.call(0, &GatewayRequest::new("r1", "/read/x")).await;
+    assert!(response.status >= 500, "{}", response.status);
+    fleet
+        .wait_for_log(0, "name=request_ended request_id=r1")
+        .await;
+    let log = fleet.read_log(0);
+    assert!(log.contains("name=attempt_silent request_id=r1"));
+    assert!(!log.contains("name=attempt_continued"));
+}
