fix(gateway): a server's own failure is forwarded when no other server is found

What callers saw: 502 of the router in place of the signed 500 of the only usable server.

Cause: after a failure that allows a retry, the response was dropped before another server was looked for. Class: giving up the answer at hand before there is a better one, as with silent servers.

Change: the last response with a server error is kept until a retry begins, and forwarded if none does.

Evidence: unplaced_retry_drops_response failed before ('left: (502, false), right: (500, true)') and passes.

--- a/crates/verbenahinge/src/gateway/request_handler/attempts.rs
+++ b/crates/verbenahinge/src/gateway/request_handler/attempts.rs
@@ -15,6 +15,9 @@
 /// Time between two looks for a server for a request whose own one is silent.
 const PLACEMENT_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Failure of a server that has answered.
+const SERVER_ERROR: AttemptError = AttemptError::Failed(FailureKind::ServerError);
+
 /// How a request continues after a failed attempt.
 pub(crate) enum RetryDecision {
     /// Try another server.
@@ -149,6 +152,8 @@
         check: impl Fn(&Self, &ServerName, &T) -> Option<FailureKind>,
     ) -> Result<(ServerName, T), Unserved<T>> {
         let gateway = Rc::clone(&self.gateway);
+        // Response of a server to forward if no other server is found.
+        let mut last_response = None;
         loop {
             if needs_attempt {
                 match self.select_server().await {
@@ -156,7 +161,9 @@
                     Err(reason) => {
                         self.note_unplaced(reason);
                         if race.is_empty() {
-                            return Err(Unserved::Unplaced(reason));
+                            return Err(last_response.map_or(Unserved::Unplaced(reason), |last| {
+                                Unserved::Failed(SERVER_ERROR, Some(last))
+                            }));
                         }
                         race.watch_again(&gateway, PLACEMENT_RETRY_INTERVAL);
                     }
@@ -199,7 +206,10 @@
                 continue;
             }
             match self.handle_failure(&server, error) {
-                RetryDecision::Retry => needs_attempt = true,
+                RetryDecision::Retry => {
+                    needs_attempt = true;
+                    last_response = output.filter(|_| error == SERVER_ERROR);
+                }
                 RetryDecision::GiveUp(AttemptError::Failed(_)) if !race.is_empty() => {
                     needs_attempt = false;
                 }
--- a/crates/verbenahinge/tests/gateway_responses.rs
+++ b/crates/verbenahinge/tests/gateway_responses.rs
@@ -141,3 +141,13 @@
     assert_eq!(fleet.call(0, &request).await.status, 502);
     assert_eq!(fleet.runs_of_request("last").await.len(), 2);
 }
+
+/// Guards against a server's own response that is replaced because no server was found for a retry.
+#[actix_rt::test]
+async fn unplaced_retry_drops_response() {
+    let options = GatewayFleetOptions::new(CONFIG).servers(1);
+    let fleet = GatewayFleet::start(BIN, options).await;
+    fleet.set_server_fault(0, ServerFault::Fail, 0).await;
+    let response = fleet.call(0, &GatewayRequest::new("r1", "/read/x")).await;
+    assert_eq!((response.status, response.is_signed()), (500, true));
+}
