fix(gateway): while a server is silent, another one does not end its stream

What callers saw: a stream that looked complete after its second event, although the first server went on with three more after a pause.

Cause: the second server of a race answered without an event, and the end of its stream was taken as the end of the whole one. Class: the first output of any server is believed, whatever it is.

Change: while a silent server may go on, only that server ends its stream; an empty one of another server counts as malformed. Once the first connection has broken, an end without events is believed as before, since all events may have been delivered.

--- a/crates/verbenahinge/src/gateway/relay.rs
+++ b/crates/verbenahinge/src/gateway/relay.rs
@@ -105,6 +105,26 @@
     }
 }
 
+/// Returns why a reply in the middle of a stream counts as a failure.
+///
+/// While a silent server may still go on, the end of the stream is believed from that server alone.
+fn check_resumed(
+    handler: &RequestHandler,
+    server: &ServerName,
+    reply: &ServerReply,
+    silent_server: Option<&ServerName>,
+) -> Option<FailureKind> {
+    let kind = check_reply(handler, server, reply);
+    let is_usable = match reply {
+        ServerReply::Stream(_, StreamItem::Event(_)) => true,
+        ServerReply::Stream(_, StreamItem::End) => {
+            silent_server.is_none_or(|silent| silent == server)
+        }
+        ServerReply::Buffered(_) => false,
+    };
+    kind.or((!is_usable).then_some(FailureKind::Malformed))
+}
+
 /// Serves a request whose response is a stream of events.
 pub(super) async fn serve(mut handler: RequestHandler) -> CallerResponse {
     let last_event = handler.request.last_event;
@@ -296,6 +316,7 @@
         error: AttemptError,
     ) -> Result<StreamItem, AttemptError> {
         let last_event = self.last_event.or(self.handler.request.last_event);
+        let silent_server = (!race.is_empty()).then(|| self.server.clone());
         Rc::make_mut(&mut self.handler.call).waiting_since = self.last_event_at;
         let result = self
             .handler
@@ -304,9 +325,7 @@
                 needs_attempt,
                 |handler, choice| start_stream(handler, choice, last_event),
                 |handler, server, reply| {
-                    let kind = check_reply(handler, server, reply);
-                    let is_stream = matches!(reply, ServerReply::Stream(..));
-                    kind.or((!is_stream).then_some(FailureKind::Malformed))
+                    check_resumed(handler, server, reply, silent_server.as_ref())
                 },
             )
             .await;
--- a/crates/verbenahinge/tests/silent_servers.rs
+++ b/crates/verbenahinge/tests/silent_servers.rs
@@ -228,3 +228,19 @@
     assert!(log.contains("name=attempt_silent request_id=r1"));
     assert!(!log.contains("name=attempt_continued"));
 }
+
+/// Guards against a stream that ends as complete because another server answers without an event.
+#[actix_rt::test]
+async fn empty_stream_takes_over() {
+    let fleet = start(2).await;
+    let (first, second) = server_order(&fleet, 1).await;
+    set_pause(&fleet, first, ServerFault::Pause, PAUSE_MS).await;
+    let faults = ServerFaults {
+        work_ms: 5,
+        events: 2,
+        ..ServerFaults::default()
+    };
+    fleet.set_server_faults(second, &faults).await;
+    let response = fleet.call(0, &stream_request("s1", 1)).await;
+    assert_eq!(response.event_ids(), [1, 2, 3, 4, 5]);
+}
