feat(emulator): servers that exit on a prompt part

As a flag it holds from the start of the process, since a server that is started again has lost what the control paths set.

--- a/crates/verbenahinge-emulator/src/scripted_server.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server.rs
@@ -118,6 +118,9 @@
     pub slots: u32,
     /// Initial faults and timing.
     pub faults: ServerFaults,
+    /// Prompt part on which the process exits when it would send the first event; unlike the faults,
+    /// it holds from the start of the process.
+    pub deadly_part: Option<u64>,
 }
 
 /// State shared by all connections.
@@ -235,6 +238,11 @@
         result
     }
 
+    fn is_deadly(&self, request: &ParsedRequest) -> bool {
+        let part = self.options.deadly_part;
+        part.is_some_and(|part| request.prompt_parts.contains(&part))
+    }
+
     async fn execute(
         &self,
         stream: &mut TcpStream,
@@ -249,6 +257,9 @@
             () = actix_rt::time::sleep(processing_time) => {}
             _ = stream.peek(&mut peeked) => return Ok(false),
         }
+        if self.is_deadly(request) {
+            std::process::exit(3);
+        }
         let load = [self.running.get(), 0, self.options.slots];
         let limit_per_s = self.faults.borrow().limit_per_s;
         match fault {
--- a/crates/verbenahinge-emulator/src/scripted_server/request.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/request.rs
@@ -22,6 +22,8 @@
     pub(super) body: Vec<u8>,
     pub(super) is_stream: bool,
     pub(super) last_event: u64,
+    /// Identifiers of the prompt parts, in order.
+    pub(super) prompt_parts: Vec<u64>,
     account: String,
     api_key: String,
     deadline_ms: u64,
@@ -95,6 +97,7 @@
         last_event: header_value(&http_headers::LAST_EVENT_ID)
             .parse()
             .unwrap_or(0),
+        prompt_parts: parse_prompt_parts(&header_value(&http_headers::PROMPT_PARTS)),
         account: header_value(&http_headers::ACCOUNT),
         api_key: header_value(&http_headers::API_KEY),
         deadline_ms: header_value(&http_headers::DEADLINE_MS)
@@ -103,3 +106,12 @@
     };
     Ok(Some((request, head_length + body_length)))
 }
+
+fn parse_prompt_parts(text: &str) -> Vec<u64> {
+    let mut ids = Vec::new();
+    for part in text.split(',') {
+        let id = part.trim().split(':').next().unwrap_or("");
+        ids.extend(u64::from_str_radix(id, 16));
+    }
+    ids
+}
--- a/crates/verbenahinge-testkit/src/gateway_caller.rs
+++ b/crates/verbenahinge-testkit/src/gateway_caller.rs
@@ -71,6 +71,14 @@
         self
     }
 
+    /// Sets a prompt of parts that are given by their IDs, in order.
+    #[must_use]
+    pub fn prompt_parts(mut self, ids: &[u64]) -> Self {
+        let parts: Vec<_> = ids.iter().map(|id| format!("{id:x}:1000")).collect();
+        self.prompt = Some(parts.join(","));
+        self
+    }
+
     /// Sets the ID of the last event that the caller has received.
     #[must_use]
     pub const fn last_event_id(mut self, event_id: u64) -> Self {
--- a/crates/verbenahinge/src/cli/emulate.rs
+++ b/crates/verbenahinge/src/cli/emulate.rs
@@ -55,6 +55,12 @@
             "limit",
             "server: requests per second that it names [none]",
             "N",
+        )
+        .optopt(
+            "",
+            "deadly-part",
+            "server: exit at the first event of a prompt with this part [none]",
+            "HEX",
         );
     let usage_line = "emulate platform|engine|service|store|server --listen IP:PORT [OPTIONS]";
     let Some(matches) = parse_options(&mut options, args, usage_line)? else {
@@ -117,6 +123,13 @@
 }
 
 fn parse_server_options(matches: &Matches) -> Result<ScriptedServerOptions, CliError> {
+    let deadly_part = match matches.opt_str("deadly-part") {
+        None => None,
+        Some(text) => {
+            let part = u64::from_str_radix(&text, 16);
+            Some(part.map_err(|_| CliError::Usage("--deadly-part: malformed".to_owned()))?)
+        }
+    };
     Ok(ScriptedServerOptions {
         id: matches.opt_str("id").unwrap_or_default(),
         slots: option_or_default(matches, "slots", 8)?,
@@ -127,6 +140,7 @@
             events: option_or_default(matches, "events", 5)?,
             limit_per_s: option_or_default(matches, "limit", 0.0)?,
         },
+        deadly_part,
     })
 }
 
