test(soak): a deadly prompt part beside the other faults

Three engines of a service of their own exit on a part; prompts with it, and sound ones that share their first part, come through all VMs. At the end every VM refuses the part, no engine crashes on it any more, and sound prompts are served.

--- a/crates/verbenahinge-core/tests/support/deadly_fleet.rs
+++ b/crates/verbenahinge-core/tests/support/deadly_fleet.rs
@@ -1,15 +1,20 @@
 //! A fleet and its engines in virtual time, while requests with a deadly prompt part come at any VM.
 
+#[path = "deadly_fleet/model.rs"]
+mod model;
+#[path = "deadly_fleet/plan.rs"]
+mod plan;
+
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use verbenahinge_core::gateway::{
-    CrashGuard, CrashRecord, DIGEST_INTERVAL, Prompt, PromptPart, Suspect,
-};
+use verbenahinge_core::gateway::{CrashGuard, DIGEST_INTERVAL, Prompt, PromptPart, Suspect};
 use verbenahinge_core::hash::mix64;
 use verbenahinge_core::{CrashId, FailureKind, Timestamp};
 
+use self::model::{Engine, Event, Request};
+pub(crate) use self::plan::{Counts, FleetPlan};
 use super::rounds::Rounds;
 
 /// Time after which a VM has found that a server crashed, before up to as much again.
@@ -33,92 +38,6 @@
 /// First of the deadly parts.
 const DEADLY_PART: u64 = 1_000_000;
 
-/// Sizes and rates of a simulated fleet.
-#[derive(Clone, Copy)]
-pub(crate) struct FleetPlan {
-    pub(crate) vms: usize,
-    pub(crate) engines: usize,
-    pub(crate) sound_per_s: u64,
-    pub(crate) deadly_per_s: u64,
-    /// From when on requests with a deadly part come.
-    pub(crate) deadly_from: Timestamp,
-    /// End of the run.
-    pub(crate) ends_at: Timestamp,
-    /// Number of deadly parts.
-    pub(crate) deadly_parts: u64,
-    /// Time between two crashes for reasons outside, if any.
-    pub(crate) outside_crashes: Option<Duration>,
-}
-
-/// What was counted.
-#[derive(Debug, Default)]
-pub(crate) struct Counts {
-    /// When each engine crashed.
-    pub(crate) crashes: Vec<Timestamp>,
-    /// When each request with the deadly part was sent to an engine.
-    pub(crate) deadly_sent: Vec<Timestamp>,
-    /// Sound requests with the same first part: when they came, and whether they began at the first
-    /// attempt.
-    pub(crate) related: Vec<(Timestamp, bool)>,
-    /// Sound requests, and those of them that were refused.
-    pub(crate) sound: usize,
-    pub(crate) sound_refused: usize,
-    /// Records in messages that were sent at once, counted for each receiver.
-    pub(crate) records_pushed: usize,
-    /// Messages that were sent at once, counted for each receiver.
-    pub(crate) messages_pushed: usize,
-    /// When the last VM came to refuse the part.
-    pub(crate) all_refuse_at: Option<Timestamp>,
-}
-
-struct Request {
-    vm: usize,
-    arrived: Timestamp,
-    is_deadly: bool,
-    is_related: bool,
-    prefix: u64,
-    suspects: Vec<Suspect>,
-    attempts: u32,
-}
-
-enum Event {
-    /// A request reaches its first token at an engine's start.
-    FirstToken {
-        request: u64,
-        engine: usize,
-        start: u32,
-    },
-    /// A VM has found the crash of an engine at which it had requests.
-    CrashFound {
-        vm: usize,
-        at: Timestamp,
-        crash: CrashId,
-        lost: Vec<u64>,
-    },
-    /// A VM sends its news.
-    Push {
-        vm: usize,
-    },
-    /// News reaches a VM.
-    Deliver {
-        vm: usize,
-        records: Rc<Vec<CrashRecord>>,
-    },
-    EngineBack {
-        engine: usize,
-    },
-    SoundArrives,
-    DeadlyArrives,
-    OutsideCrash,
-    Round,
-}
-
-struct Engine {
-    start: u32,
-    is_up: bool,
-    waiting: Vec<u64>,
-}
-
 /// A fleet and its engines in virtual time.
 pub(crate) struct DeadlyFleet {
     plan: FleetPlan,
--- a/crates/verbenahinge/tests/fault_soak.rs
+++ b/crates/verbenahinge/tests/fault_soak.rs
@@ -6,6 +6,8 @@
 
 #[path = "fault_soak/callers.rs"]
 mod callers;
+#[path = "fault_soak/deadly.rs"]
+mod deadly;
 #[path = "fault_soak/fleet.rs"]
 mod fleet;
 #[path = "fault_soak/rng.rs"]
@@ -102,6 +104,11 @@
         seed,
         Rc::clone(&is_finished),
     )));
+    callers.push(actix_rt::spawn(deadly::send_prompts(
+        vm_addresses.clone(),
+        seed,
+        Rc::clone(&is_finished),
+    )));
     let mut fault_log = Vec::new();
     for _ in 0..FAULT_COUNT {
         fault_log.push(soak.inject_fault(&rng).await);
@@ -111,6 +118,7 @@
         actix_rt::time::sleep(Duration::from_millis(50 + rng.below(500))).await;
         soak.clear_faults(&rng, false).await;
         soak.restart_fragile_servers().await;
+        soak.restart_brittle_engines().await;
     }
     soak.clear_faults(&rng, true).await;
     is_finished.set(true);
@@ -119,6 +127,7 @@
     violations.extend(check_config(&soak).await);
     soak.finish_shutdowns().await;
     violations.extend(check_quarantine(&mut soak).await);
+    violations.extend(deadly::check_refused(&mut soak).await);
     violations.extend(check_limit(&soak, seed).await);
     violations.extend(check_departure(&mut soak, rng.index(SERVER_COUNT)).await);
     // Requests that were forwarded before their caller disconnected may still be running.
--- a/crates/verbenahinge/tests/fault_soak/fleet.rs
+++ b/crates/verbenahinge/tests/fault_soak/fleet.rs
@@ -1,6 +1,7 @@
 //! The processes of a seed and the faults injected into them.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::time::Duration;
 
 use verbenahinge_core::gateway::{ServerEntry, ServerState};
@@ -21,6 +22,12 @@
 /// Servers that crash when they run a request; they follow the others in the fleet.
 const FRAGILE_COUNT: usize = 3;
 
+/// Engines that crash on a prompt part; they follow the fragile servers in the fleet.
+const BRITTLE_COUNT: usize = 3;
+
+/// Prompt part on which the brittle engines crash.
+pub(crate) const DEADLY_PART: u64 = 0xdead;
+
 /// A gateway fleet with proxies that inject network faults.
 pub(crate) struct SoakFleet {
     pub(crate) vm_count: usize,
@@ -30,8 +37,8 @@
     config_version: u64,
     /// Entry of each server as it was last written.
     entries: Vec<ServerEntry>,
-    /// Starts of the fragile servers so far, by which their entries differ.
-    fragile_starts: u64,
+    /// Starts of the servers that crash so far, by which their entries differ.
+    crash_starts: u64,
     is_store_faulty: bool,
 }
 
@@ -60,6 +67,13 @@
                 .add_server_with(&id, "fragile", &["--fault", "crash"])
                 .await;
         }
+        let deadly_part = format!("{DEADLY_PART:x}");
+        for index in 0..BRITTLE_COUNT {
+            let id = format!("brittle-{index}");
+            fleet
+                .add_server_with(&id, "brittle", &["--deadly-part", &deadly_part])
+                .await;
+        }
         let store_proxy = Proxy::start(fleet.store_address()).await;
         fleet.add_vm_with_store(store_proxy.address());
         let vm_count = usize::from(vm_count);
@@ -71,7 +85,7 @@
             store_proxy,
             config_version: 7,
             entries,
-            fragile_starts: 1,
+            crash_starts: 1,
             is_store_faulty: false,
         }
     }
@@ -230,22 +244,33 @@
         }
     }
 
-    /// Starts fragile servers again that have crashed, unless the store is faulty, since they have to
-    /// register; returns how many.
+    /// Starts fragile servers again that have crashed; returns how many.
     pub(crate) async fn restart_fragile_servers(&mut self) -> usize {
+        let first = SERVER_COUNT;
+        self.restart_crashed(first..first + FRAGILE_COUNT).await
+    }
+
+    /// Starts brittle engines again that have crashed; returns how many.
+    pub(crate) async fn restart_brittle_engines(&mut self) -> usize {
+        let first = SERVER_COUNT + FRAGILE_COUNT;
+        self.restart_crashed(first..first + BRITTLE_COUNT).await
+    }
+
+    /// Starts servers again that have crashed, unless the store is faulty, since they have to register.
+    async fn restart_crashed(&mut self, servers: Range<usize>) -> usize {
         let mut crashed = 0;
         if self.is_store_faulty {
             return crashed;
         }
-        for server in SERVER_COUNT..SERVER_COUNT + FRAGILE_COUNT {
+        for server in servers {
             if !self.fleet.server_process(server).has_exited() {
                 continue;
             }
             crashed += 1;
             self.fleet.server_process(server).restart();
-            self.fragile_starts += 1;
+            self.crash_starts += 1;
             let entry = ServerEntry {
-                started_unix_ms: Some(self.fragile_starts),
+                started_unix_ms: Some(self.crash_starts),
                 ..self.fleet.server_entry(server)
             };
             self.fleet.register(&entry).await;
