--- a/crates/verbenahinge-testkit/src/gateway_fleet.rs
+++ b/crates/verbenahinge-testkit/src/gateway_fleet.rs
@@ -153,6 +153,12 @@
         self.vms[vm].settings.listen
     }
 
+    /// Address at which a VM receives messages of other VMs.
+    #[must_use]
+    pub fn peer_address(&self, vm: usize) -> SocketAddr {
+        SocketAddr::new(self.vms[vm].settings.ip, self.peer_port)
+    }
+
     /// Sends a request on a new connection.
     ///
     /// # Panics
