fix(gateway): few requests try a part whose refusal has ended

After ten minutes all VMs would have let requests with the part run at once: as many engines as arrive in about a second (virtual time; the BUDGET rule counts all of them). A crash that this VM has found itself counts further lost connections for 5 s, not one that another VM reported, which may only have been cut off from the server. A prompt that a server rejected is tried elsewhere whatever its parts have on record.

--- a/crates/verbenahinge-core/src/gateway/crash_evidence.rs
+++ b/crates/verbenahinge-core/src/gateway/crash_evidence.rs
@@ -151,26 +151,21 @@
     }
 
     /// Suspects that this VM has refuted and that others may take for the cause, since they were
-    /// running at several crashes.
+    /// running at several crashes or blamed before.
     pub(super) fn untold(&self) -> Vec<Fingerprint> {
         let mut untold = Vec::new();
         for (&fingerprint, record) in &self.records {
-            if !record.untold.is_empty() && record.crashes.len() > 1 {
+            if !record.untold.is_empty() && record.is_close_to_blame() {
                 untold.push(fingerprint);
             }
         }
         untold
     }
 
-    /// Whether a suspect was running at several crashes.
-    pub(super) fn has_several_crashes(&self, fingerprint: Fingerprint) -> bool {
+    /// Whether a suspect is blamed, or would be but for what clears it.
+    pub(super) fn is_close_to_blame(&self, fingerprint: Fingerprint) -> bool {
         let record = self.records.get(&fingerprint);
-        record.is_some_and(|record| record.crashes.len() > 1)
-    }
-
-    /// When a crash happened, if a record names it.
-    pub(super) fn crash_time(&self, crash: CrashId) -> Option<Timestamp> {
-        self.crashed_at.get(&crash).copied()
+        record.is_some_and(Evidence::is_close_to_blame)
     }
 
     /// Notes that the refutations of a suspect have been told.
@@ -264,6 +259,15 @@
 }
 
 impl Evidence {
+    fn is_close_to_blame(&self) -> bool {
+        self.crashes.len() > 1 || self.is_on_probation
+    }
+
+    /// Whether the suspect is a part whose refusal has ended, and that nothing has cleared since.
+    pub(super) fn is_on_trial(&self) -> bool {
+        self.is_on_probation && self.scope.is_part() && self.open_count() > 0
+    }
+
     /// Number of crashes that nothing refutes.
     pub(super) fn open_count(&self) -> usize {
         self.crashes.len() - self.refuted.len()
--- a/crates/verbenahinge-core/src/gateway/crash_guard.rs
+++ b/crates/verbenahinge-core/src/gateway/crash_guard.rs
@@ -10,6 +10,7 @@
 use super::crash_blame::{count_moments, find_blamed};
 use super::crash_evidence::CrashEvidence;
 use super::{CrashRecord, CrashRefusal, Suspect, SuspectScope};
+use crate::hash::mix64;
 use crate::quarantine::{QUARANTINE_CRASHES, RECORD_TTL};
 use crate::{CrashId, FailureKind, Fingerprint, Timestamp};
 
@@ -22,6 +23,9 @@
 /// Maximum number of records that are told at once after a crash, in several datagrams.
 const MAX_NEWS: usize = 320;
 
+/// One in this many requests runs with a part whose refusal has ended, until one succeeds or crashes.
+const TRIAL_SHARE: u64 = 64;
+
 /// Time for which a crash record is included in digests after its last update.
 const CRASH_RECORD_MAX_AGE: Duration = Duration::from_secs(20);
 
@@ -73,7 +77,7 @@
             }
             has_cleared = true;
             let is_close = suspect.scope == SuspectScope::Request;
-            if is_close || self.evidence.has_several_crashes(suspect.fingerprint) {
+            if is_close || self.evidence.is_close_to_blame(suspect.fingerprint) {
                 cleared.push(suspect.fingerprint);
             }
         }
@@ -116,17 +120,22 @@
     /// Returns why a request with these suspects must not run, if so.
     #[must_use]
     pub fn refusal(&self, now: Timestamp, suspects: &[Suspect]) -> Option<CrashRefusal> {
-        for suspect in suspects {
+        for &suspect in suspects {
+            let Some(record) = self.evidence.get(suspect.fingerprint) else {
+                continue;
+            };
             let refused_from = self.blamed.get(&suspect.fingerprint);
-            if refused_from.is_none_or(|&at| at > now) {
+            let refused_until = if refused_from.is_some_and(|&at| at <= now) {
+                let open = self.evidence.open_crashes(record);
+                open.last().map_or(Duration::ZERO, |last| last.0) + RECORD_TTL
+            } else if record.is_on_trial() && !is_trial(suspect, suspects) {
+                record.updated_at() + RECORD_TTL
+            } else {
                 continue;
-            }
-            let record = self.evidence.get(suspect.fingerprint)?;
-            let open = self.evidence.open_crashes(record);
-            let last = open.last().map_or(Duration::ZERO, |last| last.0);
+            };
             return Some(CrashRefusal {
-                suspect: *suspect,
-                time_left: (last + RECORD_TTL).saturating_sub(now),
+                suspect,
+                time_left: refused_until.saturating_sub(now),
             });
         }
         None
@@ -137,7 +146,7 @@
     ///
     /// A request without a prompt that has crashed a server before, and whose connection breaks again,
     /// may just have crashed the second one. That shows only after a while, so it does not get a third
-    /// one.
+    /// one. A prompt whose connection broke must not hold what was running at two crashes.
     #[must_use]
     pub fn allows_retry(&self, suspects: &[Suspect], kind: FailureKind) -> bool {
         suspects.iter().all(|suspect| {
@@ -149,7 +158,8 @@
                 SuspectScope::Request if kind == FailureKind::ConnectionLost => open.is_empty(),
                 SuspectScope::Request => open.len() < QUARANTINE_CRASHES,
                 SuspectScope::Prompt | SuspectScope::Part { .. } => {
-                    count_moments(open.into_iter().map(|(at, _)| at)) < QUARANTINE_CRASHES
+                    kind != FailureKind::ConnectionLost
+                        || count_moments(open.into_iter().map(|(at, _)| at)) < QUARANTINE_CRASHES
                 }
             }
         })
@@ -220,12 +230,6 @@
         self.evidence.get(fingerprint).map(|record| record.scope)
     }
 
-    /// When a crash happened, if it is on record.
-    #[must_use]
-    pub fn crash_time(&self, crash: CrashId) -> Option<Timestamp> {
-        self.evidence.crash_time(crash)
-    }
-
     /// Whether successes have cleared a suspect of so many crashes that it cannot be blamed.
     #[must_use]
     pub fn is_cleared(&self, fingerprint: Fingerprint) -> bool {
@@ -264,3 +268,9 @@
             .evict(|fingerprint| blamed.contains_key(&fingerprint));
     }
 }
+
+/// Whether a request is one of those that try a part whose refusal has ended.
+fn is_trial(part: Suspect, suspects: &[Suspect]) -> bool {
+    let request = suspects.first().map_or(0, |request| request.fingerprint);
+    mix64(part.fingerprint, request).is_multiple_of(TRIAL_SHARE)
+}
--- a/crates/verbenahinge-core/tests/deadly_spread.rs
+++ b/crates/verbenahinge-core/tests/deadly_spread.rs
@@ -55,7 +55,7 @@
     counts
 }
 
-/// Checks a run: `known` crashes count as the first ones, each deadly part having five.
+/// Checks a run from the fifth crash on, or from as many more as there are deadly parts.
 fn check(plan: FleetPlan, seed: u64) {
     let counts = run(plan, seed);
     let known = counts.crashes.len().min(5 * deadly_parts(plan));
@@ -112,6 +112,22 @@
     }
 }
 
+/// The refusal ends while requests with the part still come.
+#[test]
+fn crashes_start_over() {
+    let plan = FleetPlan {
+        ends_at: Duration::from_mins(12),
+        ..SMALL
+    };
+    for seed in 0..4 {
+        let counts = run(plan, seed);
+        let sent = counts.deadly_sent.iter();
+        let again = sent.filter(|&&at| at > Duration::from_mins(1)).count();
+        println!("{again} sent again");
+        assert!((1..=MAX_LATE).contains(&again), "{again} sent, seed {seed}");
+    }
+}
+
 #[test]
 fn several_deadly_parts() {
     let plan = FleetPlan {
--- a/crates/verbenahinge-core/tests/support/deadly_fleet.rs
+++ b/crates/verbenahinge-core/tests/support/deadly_fleet.rs
@@ -196,6 +196,9 @@
                 self.tell_cleared(delivery.to);
             }
         }
+        for vm in &mut self.vms {
+            vm.expire(self.now);
+        }
         let parts = DEADLY_PART..DEADLY_PART + self.plan.deadly_parts;
         let probes: Vec<_> = parts.map(|part| suspects_of(0, &[part])).collect();
         let is_refused = |vm: &CrashGuard| {
--- a/crates/verbenahinge/src/gateway/crash_check.rs
+++ b/crates/verbenahinge/src/gateway/crash_check.rs
@@ -20,13 +20,16 @@
 /// Maximum wait of a request for the outcome of a check before it is tried again.
 const MAX_CHECK_WAIT: Duration = Duration::from_millis(200);
 
-/// Time after a crash in which connections that broke count to it without another check.
-const KNOWN_CRASH_AGE: Duration = Duration::from_secs(5);
+/// Time after a crash that this VM has found in which connections that broke count to it without another
+/// check.
+const FOUND_CRASH_AGE: Duration = Duration::from_secs(5);
 
 /// Checks that are under way, and the suspects that were blamed when that was last looked at.
 #[derive(Default)]
 pub(crate) struct CrashChecks {
     pending: RefCell<BTreeMap<CrashId, PendingCheck>>,
+    /// Crashes that this VM has found lately, and when they happened.
+    found: RefCell<BTreeMap<CrashId, Timestamp>>,
     blamed: RefCell<BTreeSet<Fingerprint>>,
     refusal_notify: Notify,
 }
@@ -81,8 +84,12 @@
     suspects: Vec<Suspect>,
 ) -> CrashCheck {
     let now = gateway.now();
-    let crashed_at = gateway.state.borrow().crash_guard().crash_time(crash);
-    if let Some(at) = crashed_at.filter(|&at| at + KNOWN_CRASH_AGE > now) {
+    let found_at = {
+        let mut found = gateway.crash_checks.found.borrow_mut();
+        found.retain(|_, &mut at| at + FOUND_CRASH_AGE > now);
+        found.get(&crash).copied()
+    };
+    if let Some(at) = found_at {
         record_crash(gateway, server, crash, at, &[suspects]);
         let check = CrashCheck::default();
         check.end();
@@ -108,6 +115,9 @@
             return;
         };
         if has_crashed {
+            let mut found = gateway.crash_checks.found.borrow_mut();
+            found.insert(crash, check.broke_at);
+            drop(found);
             record_crash(&gateway, &server, crash, check.broke_at, &check.lost);
         }
         check.outcome.end();
