test(gateway): lost prompts that are retried, and begun streams that are suspected

A prompt that lost an engine waits for the crash check before its second attempt; a stream that had its first event is no suspect of the crash that ends it.

--- a/crates/verbenahinge/tests/deadly_prompt.rs
+++ b/crates/verbenahinge/tests/deadly_prompt.rs
@@ -146,11 +146,10 @@
     crashed
 }
 
-/// Sends requests with the part to a VM, one after the other, until two servers have crashed.
-async fn crash_two_servers(fleet: &mut GatewayFleet, vm: usize, servers: usize) {
+/// Sends requests with the part to a VM, one after the other, until some servers have crashed.
+async fn crash_servers(fleet: &mut GatewayFleet, vm: usize, servers: usize, count: usize) {
     for unique in 0.. {
-        let crashed = crashed_servers(fleet, servers);
-        if crashed >= 2 {
+        if crashed_servers(fleet, servers) >= count {
             return;
         }
         let request = deadly(&format!("crash-{unique}"), unique).path("/single/x");
@@ -263,7 +262,7 @@
             .await;
     }
     fleet.wait_for_log(0, "server=slow change=draining").await;
-    crash_two_servers(&mut fleet, 0, 3).await;
+    crash_servers(&mut fleet, 0, 3, 2).await;
     let response = waiting.await.expect("the task ended");
     let response = response.expect("a response");
     assert_eq!(response.status, 502, "{}", response.body);
@@ -276,11 +275,50 @@
     assert!(!fleet.server_process(0).has_exited());
 }
 
+/// Guards against a second attempt of a prompt whose part has crashed an engine before, which begins
+/// before the crash of its first one is found.
+#[actix_rt::test]
+async fn lost_prompt_retried() {
+    let mut fleet = GatewayFleet::start(BIN, options(1, 4, "5")).await;
+    crash_servers(&mut fleet, 0, 4, 1).await;
+    fleet.wait_for_log(0, "name=server_crashed").await;
+    for unique in 100.. {
+        // A VM may choose the server that has crashed, and tries another one then.
+        let response = fleet
+            .call(0, &deadly(&format!("lost-{unique}"), unique))
+            .await;
+        if response.status == 502 {
+            break;
+        }
+    }
+    actix_rt::time::sleep(CRASH_PAUSE).await;
+    assert_eq!(crashed_servers(&mut fleet, 4), 2);
+}
+
+/// Guards against a stream that had begun and is taken for the cause of the crash that ends it.
+#[actix_rt::test]
+async fn begun_stream_suspected() {
+    let fleet = GatewayFleet::start(BIN, options(1, 1, "300")).await;
+    let address = fleet.listen_address(0);
+    let begun = sound("begun", 1).path("/single/x");
+    let begun = actix_rt::spawn(async move { call(address, &begun).await });
+    while fleet.runs(0).await.is_empty() {
+        actix_rt::time::sleep(Duration::from_millis(5)).await;
+    }
+    let lost = fleet.call(0, &deadly("lost", 2).path("/single/x")).await;
+    assert_eq!(lost.status, 502, "{}", lost.body);
+    let begun = begun.await.expect("the task ended").expect("a response");
+    assert_eq!((begun.status, begun.is_complete), (200, false));
+    fleet.wait_for_log(0, "name=server_crashed").await;
+    let log = fleet.read_log(0);
+    assert_eq!(log.matches("name=server_crashed").count(), 1, "{log}");
+}
+
 /// Guards against parts that are forgotten when all VMs are replaced.
 #[actix_rt::test]
 async fn restart_forgets_parts() {
     let mut fleet = GatewayFleet::start(BIN, options(2, 4, "5")).await;
-    crash_two_servers(&mut fleet, 0, 4).await;
+    crash_servers(&mut fleet, 0, 4, 2).await;
     let started = Instant::now();
     while fleet.store_keys("quarantine").await.is_empty() {
         assert!(started.elapsed() < RECORD_TIMEOUT, "no record in the store");
