feat(gateway): explain names prompts that are refused for a part

A prompt that was given up while it waited ended with a cause that explain read as a failed attempt; it and prompts that are not tried again after a crash now have causes of their own.

--- a/crates/verbenahinge/src/gateway/request_handler/crashes.rs
+++ b/crates/verbenahinge/src/gateway/request_handler/crashes.rs
@@ -84,7 +84,7 @@
         } else {
             "failed"
         };
-        let detail = crash_check::refusal_message(&refusal);
+        let detail = format!("{:?}", PlacementError::Quarantined(refusal.time_left));
         self.record_outcome(outcome, None, Some(status), &detail);
     }
 
--- a/crates/verbenahinge/src/request_report.rs
+++ b/crates/verbenahinge/src/request_report.rs
@@ -235,6 +235,14 @@
             field("priority"),
         ),
         (_, "Full") => "no server had a free slot and enough memory for it".to_owned(),
+        (_, "Quarantined") => format!(
+            "it, or a part of its prompt, crashes servers and is refused for the next {wait}"
+        ),
+        (_, "CrashSuspect") => {
+            "its server crashed, and it, or a part of its prompt, was waiting at \
+                                another crash too"
+                .to_owned()
+        }
         (_, "time_up") => format!(
             "the deadline set by the caller or route {} passed",
             field("route")
--- a/crates/verbenahinge/tests/deadly_prompt.rs
+++ b/crates/verbenahinge/tests/deadly_prompt.rs
@@ -271,6 +271,9 @@
         "{}",
         response.body
     );
+    let ended = "request_id=waiting outcome=failed status=502";
+    let ended = fleet.wait_for_log_after(1, 0, ended).await;
+    assert!(ended.contains("detail=Quarantined("), "{ended}");
     assert!(!fleet.runs(0).await.is_empty(), "the slow engine runs");
     assert!(!fleet.server_process(0).has_exited());
 }
