--- a/crates/verbenahinge-core/src/gateway/crash_evidence.rs
+++ b/crates/verbenahinge-core/src/gateway/crash_evidence.rs
@@ -95,17 +95,20 @@
         let Some(record) = self.records.get_mut(&suspect.fingerprint) else {
             return false;
         };
-        let mut has_refuted = false;
-        for &crash in record.crashes.difference(&record.refuted.clone()) {
+        let mut refuted = Vec::new();
+        for &crash in record.crashes.difference(&record.refuted) {
             let crashed_at = self.crashed_at.get(&crash).copied().unwrap_or_default();
             if now > crashed_at + REFUTE_MARGIN {
-                record.refuted.insert(crash);
-                record.untold.insert(crash);
-                record.updated_at = record.updated_at.max(now);
-                has_refuted = true;
+                refuted.push(crash);
             }
         }
-        has_refuted
+        if refuted.is_empty() {
+            return false;
+        }
+        record.refuted.extend(refuted.iter().copied());
+        record.untold.extend(refuted);
+        record.updated_at = record.updated_at.max(now);
+        true
     }
 
     /// Adds a record of another VM or of the store; returns whether it names a crash that was not
