--- a/crates/verbenahinge-testkit/src/gateway_caller.rs
+++ b/crates/verbenahinge-testkit/src/gateway_caller.rs
@@ -42,6 +42,13 @@
         }
     }
 
+    /// Sets the path.
+    #[must_use]
+    pub fn path(mut self, path: &str) -> Self {
+        path.clone_into(&mut self.path);
+        self
+    }
+
     /// Sets the API key.
     #[must_use]
     pub fn api_key(mut self, api_key: &str) -> Self {
@@ -71,6 +78,14 @@
         self
     }
 
+    /// Sets a prompt of parts that are given by their IDs, in order.
+    #[must_use]
+    pub fn prompt_parts(mut self, ids: &[u64]) -> Self {
+        let parts: Vec<_> = ids.iter().map(|id| format!("{id:x}:1000")).collect();
+        self.prompt = Some(parts.join(","));
+        self
+    }
+
     /// Sets the ID of the last event that the caller has received.
     #[must_use]
     pub const fn last_event_id(mut self, event_id: u64) -> Self {
--- a/crates/verbenahinge/src/cli/emulate.rs
+++ b/crates/verbenahinge/src/cli/emulate.rs
@@ -56,7 +56,13 @@
             "server: requests per second that it names [none]",
             "N",
         )
-        .optopt("", "pause-ms", "server: length of a pause [0]", "MS");
+        .optopt("", "pause-ms", "server: length of a pause [0]", "MS")
+        .optopt(
+            "",
+            "deadly-part",
+            "server: exit at the first event of a prompt with this part [none]",
+            "HEX",
+        );
     let usage_line = "emulate platform|engine|service|store|server --listen IP:PORT [OPTIONS]";
     let Some(matches) = parse_options(&mut options, args, usage_line)? else {
         return Ok(EXIT_OK);
@@ -118,6 +124,13 @@
 }
 
 fn parse_server_options(matches: &Matches) -> Result<ScriptedServerOptions, CliError> {
+    let deadly_part = match matches.opt_str("deadly-part") {
+        None => None,
+        Some(text) => {
+            let part = u64::from_str_radix(&text, 16);
+            Some(part.map_err(|_| CliError::Usage("--deadly-part: malformed".to_owned()))?)
+        }
+    };
     Ok(ScriptedServerOptions {
         id: matches.opt_str("id").unwrap_or_default(),
         slots: option_or_default(matches, "slots", 8)?,
@@ -129,6 +142,7 @@
             limit_per_s: option_or_default(matches, "limit", 0.0)?,
             pause_ms: option_or_default(matches, "pause-ms", 0)?,
         },
+        deadly_part,
     })
 }
 
--- a/crates/verbenahinge/src/gateway/relay.rs
+++ b/crates/verbenahinge/src/gateway/relay.rs
@@ -268,8 +268,7 @@
             let now = self.handler.gateway.now();
             state.note_answer(now, &self.server, true);
         }
-        let fingerprint = self.handler.call.fingerprint;
-        self.handler.gateway.record_completion(fingerprint);
+        self.handler.note_stream_end();
         if let Some(stream) = self.upstream.take() {
             stream.release_connection();
         }
--- a/crates/verbenahinge/src/gateway/request_handler.rs
+++ b/crates/verbenahinge/src/gateway/request_handler.rs
@@ -1,6 +1,7 @@
 //! Handles one request: selects servers, retries failed attempts and sends the final response.
 
 pub(crate) mod attempts;
+mod crashes;
 mod final_response;
 
 use std::rc::Rc;
@@ -9,6 +10,7 @@
 use verbenahinge_core::gateway::{Call, PlacementError, ServerChoice};
 use verbenahinge_core::{FailureKind, ServerName, Timestamp, Verdict};
 
+use self::crashes::CrashWatch;
 use super::Gateway;
 use super::attempt::{AttemptGuard, BufferedResponse, CallerRequest, response_timeout};
 use super::attempt_race::{AttemptRace, RunningAttempt, SignOfLife, SilenceTimeout};
@@ -60,6 +62,7 @@
     first_event_at: Option<Timestamp>,
     choice: Option<ServerChoice>,
     is_outcome_recorded: bool,
+    crash_watch: CrashWatch,
     _guard: RequestGuard,
 }
 
@@ -75,6 +78,7 @@
             first_event_at: None,
             choice: None,
             is_outcome_recorded: false,
+            crash_watch: CrashWatch::default(),
             _guard: guard,
         }
     }
@@ -91,6 +95,7 @@
     ///
     /// There, a request to a rate-limited server also needs a permit.
     pub(crate) async fn select_server(&self) -> Result<ServerChoice, PlacementError> {
+        self.check_suspects().await?;
         let mut excluded = self.tried_servers.clone();
         for _ in 0..MAX_PERMIT_QUERIES {
             let choice = self.choose_server(&excluded).await?;
@@ -134,6 +139,7 @@
         self.attempt_count += 1;
         self.choice = Some(choice.clone());
         self.tried_servers.push(choice.server.clone());
+        self.note_attempt(&choice.server);
         let attempt_guard = AttemptGuard::new(&self.gateway, &self.call, choice);
         peers::send_load(&self.gateway, &choice.server);
         attempt_guard
@@ -148,8 +154,11 @@
     /// Records that a server has begun to answer.
     pub(crate) fn record_first_token(&self, server: &str) {
         let now = self.gateway.now();
-        let mut state = self.gateway.state.borrow_mut();
-        state.note_first_token(now, self.call.id, server);
+        self.gateway
+            .state
+            .borrow_mut()
+            .note_first_token(now, self.call.id, server);
+        self.note_first_event_from(server);
     }
 
     /// Serves a request whose response is read completely before it is forwarded.
@@ -241,6 +250,7 @@
 
 impl Drop for RequestHandler {
     fn drop(&mut self) {
+        self.record_cancellation();
         let outcome = if self.gateway.is_ending.get() {
             "cut_off"
         } else {
--- a/crates/verbenahinge/src/gateway/request_handler/attempts.rs
+++ b/crates/verbenahinge/src/gateway/request_handler/attempts.rs
@@ -86,8 +86,7 @@
         ]);
         self.note_server_failure(server, kind);
         if kind == FailureKind::ConnectionLost {
-            self.gateway
-                .detect_crash(server.clone(), self.call.fingerprint);
+            self.note_lost_connection(server);
         }
     }
 
@@ -132,7 +131,8 @@
             return Err(NoRetry::NotRepeatable);
         }
         let mut state = self.gateway.state.borrow_mut();
-        if !state.allows_retry(self.call.fingerprint, kind) {
+        let guard = state.crash_guard();
+        if !guard.allows_retry(&self.call.suspects(), kind) {
             return Err(NoRetry::Crashes);
         }
         if !state.spend_retry(now, &self.call) {
