test(emulator): responses that end with their connection, and more ways to cut one off

What tests lacked: the scripted server could send no whole response without a length, no stream without chunks, and cut responses off in few ways.

Change: `framing` says how a response tells its end (length or chunks, or the end of the connection, with and without `Connection: close`), `status` sets another status, and there are faults for a cut head, a reset in or between events, an early end between events, a last chunk in an event, and a crash in an event. A record of a run names its connection. Faults, framing, records and streams are in files of their own.

--- a/crates/verbenahinge-emulator/src/scripted_server.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server.rs
@@ -7,20 +7,27 @@
 //! `PUT /stand-in/faults` sets the [`ServerFaults`]; `GET /stand-in/runs` returns the
 //! [`ExecutedRequest`]s.
 
+mod events;
+mod executed_request;
+mod framing;
 mod request;
 mod response;
+mod server_fault;
+mod server_faults;
 
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use serde::{Deserialize, Serialize};
-use strum::{Display, EnumString};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
+pub use self::executed_request::ExecutedRequest;
+pub use self::framing::Framing;
 use self::request::ParsedRequest;
+pub use self::server_fault::ServerFault;
+pub use self::server_faults::ServerFaults;
 
 /// Path for setting the [`ServerFaults`].
 pub const FAULTS_PATH: &str = "/stand-in/faults";
@@ -28,86 +35,8 @@
 /// Path for reading the [`ExecutedRequest`]s.
 pub const RUNS_PATH: &str = "/stand-in/runs";
 
-/// Kind of fault that a server injects.
-#[derive(
-    Clone, Copy, Debug, Default, Deserialize, Display, EnumString, Eq, PartialEq, Serialize,
-)]
-#[serde(rename_all = "snake_case")]
-#[strum(serialize_all = "snake_case")]
-pub enum ServerFault {
-    /// Sends a correct response.
-    #[default]
-    None,
-    /// Executes the request and closes the connection without a response.
-    LoseAnswer,
-    /// Executes the request, keeps the connection open and never responds.
-    Silence,
-    /// Rejects the request and states that it was not executed.
-    Reject,
-    /// Executes the request and responds with status 500.
-    Fail,
-    /// Sends the response and then a second one.
-    ExtraAnswer,
-    /// Sends a response with another request ID before the correct one.
-    ForeignAnswer,
-    /// Closes the connection in the middle of a response or of an event.
-    BreakOff,
-    /// Sends bytes that are not an HTTP response.
-    Garbage,
-    /// Sends a response without a length and ends it with a TCP reset.
-    Unframed,
-    /// Stops in the middle of an event of a stream and keeps the connection open.
-    Stall,
-    /// Exits the process while it executes the request.
-    Crash,
-    /// Sends a header line that does not end, until the client closes the connection.
-    EndlessHead,
-    /// Sends a body that does not end, until the client closes the connection.
-    EndlessBody,
-    /// Sends an event of a stream that does not end, until the client closes the connection.
-    EndlessEvent,
-}
-
-/// Faults and timing of a server.
-#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
-#[serde(default)]
-pub struct ServerFaults {
-    /// Fault to inject.
-    pub fault: ServerFault,
-    /// Number of requests that the fault affects; 0 means all.
-    pub times: u32,
-    /// Time before each response and after each event, in milliseconds.
-    pub work_ms: u64,
-    /// Number of events in a complete stream.
-    pub events: u64,
-    /// Rate limit that responses name, in requests per second; 0 means none.
-    pub limit_per_s: f64,
-}
-
-/// Record of a request that a server executed.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct ExecutedRequest {
-    /// Request ID.
-    pub request_id: String,
-    /// Method and request target, separated by a space.
-    pub target: String,
-    /// Request body, with invalid UTF-8 replaced.
-    pub body: String,
-    /// Client account in the request headers.
-    pub account: String,
-    /// API key in the request headers, which the router must not forward.
-    pub api_key: String,
-    /// Value of the deadline header in milliseconds, or 0.
-    pub deadline_ms: u64,
-    /// ID of the event after which the stream resumes, or 0.
-    pub last_event: u64,
-    /// Whether the complete response was sent.
-    pub is_complete: bool,
-    /// Whether the client closed the connection before an endless response ended.
-    pub was_closed: bool,
-    /// Time of its arrival since the start of the server, in milliseconds.
-    pub arrived_ms: u64,
-}
+/// Exit code of a process that crashes by an injected fault.
+const CRASH_EXIT_CODE: i32 = 3;
 
 /// Options of a server.
 #[derive(Clone, Debug, PartialEq)]
@@ -126,6 +55,7 @@
     faults: RefCell<ServerFaults>,
     executed_requests: RefCell<Vec<ExecutedRequest>>,
     running: Cell<u32>,
+    connections: Cell<u64>,
     started: Instant,
 }
 
@@ -136,6 +66,7 @@
         options,
         executed_requests: RefCell::default(),
         running: Cell::new(0),
+        connections: Cell::new(0),
         started: Instant::now(),
     });
     loop {
@@ -153,6 +84,9 @@
     }
 }
 
+/// Number of bytes of a head that is cut off, in its second line.
+const CUT_HEAD_BYTES: usize = 24;
+
 /// Sends the start of a response and then one letter again and again, until the client closes.
 async fn send_endlessly(stream: &mut TcpStream, start: &[u8]) -> io::Result<()> {
     /// Number of letters that are sent at a time.
@@ -166,12 +100,17 @@
 impl ScriptedServer {
     async fn serve_connection(&self, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
+        let connection = self.connections.get() + 1;
+        self.connections.set(connection);
         let mut buffer = Vec::new();
         while let Some(request) = request::read_request(&mut stream, &mut buffer).await? {
             let keep_open = match (request.method.as_str(), request.target.as_str()) {
                 ("PUT", FAULTS_PATH) => self.set_faults(&mut stream, &request).await?,
                 ("GET", RUNS_PATH) => self.send_executed_requests(&mut stream).await?,
-                _ => self.handle_request(&mut stream, &request).await?,
+                _ => {
+                    self.handle_request(&mut stream, &request, connection)
+                        .await?
+                }
             };
             if !keep_open {
                 return Ok(());
@@ -212,6 +151,7 @@
         &self,
         stream: &mut TcpStream,
         request: &ParsedRequest,
+        connection: u64,
     ) -> io::Result<bool> {
         if request.expected_server != self.options.id {
             stream.write_all(&response::misdirected(request)).await?;
@@ -226,6 +166,7 @@
         let arrived_ms = self.started.elapsed().as_millis();
         let executed = ExecutedRequest {
             arrived_ms: u64::try_from(arrived_ms).unwrap_or(u64::MAX),
+            connection,
             ..request.to_executed_request()
         };
         self.executed_requests.borrow_mut().push(executed);
@@ -250,11 +191,11 @@
             _ = stream.peek(&mut peeked) => return Ok(false),
         }
         let load = [self.running.get(), 0, self.options.slots];
-        let limit_per_s = self.faults.borrow().limit_per_s;
+        let faults = *self.faults.borrow();
         match fault {
             ServerFault::LoseAnswer => return Ok(false),
             ServerFault::Silence => return std::future::pending().await,
-            ServerFault::Crash => std::process::exit(3),
+            ServerFault::Crash => std::process::exit(CRASH_EXIT_CODE),
             ServerFault::Fail => {
                 stream.write_all(&response::failed(request)).await?;
                 return Ok(true);
@@ -274,7 +215,7 @@
                 let mut foreign = request.clone();
                 "foreign".clone_into(&mut foreign.request_id);
                 stream
-                    .write_all(&response::complete(&foreign, load, limit_per_s))
+                    .write_all(&response::complete(&foreign, load, &faults))
                     .await?;
             }
             ServerFault::Unframed => {
@@ -283,68 +224,34 @@
                 stream.set_zero_linger()?;
                 return Ok(false);
             }
-            ServerFault::BreakOff if !request.is_stream => {
-                let bytes = response::complete(request, load, limit_per_s);
+            ServerFault::CutHead => {
+                let bytes = response::complete(request, load, &faults);
+                stream.write_all(&bytes[..CUT_HEAD_BYTES]).await?;
+                return Ok(false);
+            }
+            _ if fault.cuts_bodies() && !request.is_stream => {
+                let bytes = response::complete(request, load, &faults);
                 stream.write_all(&bytes[..bytes.len() - 2]).await?;
+                if fault.resets() {
+                    stream.set_zero_linger()?;
+                }
                 return Ok(false);
             }
-            ServerFault::None
-            | ServerFault::Reject
-            | ServerFault::ExtraAnswer
-            | ServerFault::BreakOff
-            | ServerFault::Stall => {}
+            _ => {}
         }
         if request.is_stream {
             self.send_events(stream, request, fault).await?;
         } else {
-            stream
-                .write_all(&response::complete(request, load, limit_per_s))
-                .await?;
+            let bytes = response::complete(request, load, &faults);
+            stream.write_all(&bytes).await?;
         }
         if let Some(executed) = self.executed_requests.borrow_mut().get_mut(record_index) {
             executed.is_complete = true;
         }
         if fault == ServerFault::ExtraAnswer {
-            stream
-                .write_all(&response::complete(request, load, limit_per_s))
-                .await?;
-        }
-        Ok(fault != ServerFault::BreakOff)
-    }
-
-    async fn send_events(
-        &self,
-        stream: &mut TcpStream,
-        request: &ParsedRequest,
-        fault: ServerFault,
-    ) -> io::Result<()> {
-        let faults = *self.faults.borrow();
-        let event_interval = Duration::from_millis(faults.work_ms);
-        stream
-            .write_all(&response::stream_head(request, faults.limit_per_s))
-            .await?;
-        let first = request.last_event + 1;
-        for id in first..=faults.events {
-            let event = response::event(id, &self.options.id);
-            let is_midpoint = id == first.midpoint(faults.events);
-            if is_midpoint && matches!(fault, ServerFault::BreakOff | ServerFault::Stall) {
-                stream
-                    .write_all(&response::chunk(&event[..event.len() / 2]))
-                    .await?;
-                if fault == ServerFault::Stall {
-                    return std::future::pending().await;
-                }
-                return Err(io::Error::other("connection closed by the injected fault"));
-            }
-            stream.write_all(&response::chunk(&event)).await?;
-            let mut peeked = [0; 1];
-            tokio::select! {
-                () = actix_rt::time::sleep(event_interval) => {}
-                _ = stream.peek(&mut peeked) => {
-                    return Err(io::Error::other("client disconnected or sent more data"));
-                }
-            }
+            let bytes = response::complete(request, load, &faults);
+            stream.write_all(&bytes).await?;
         }
-        stream.write_all(response::LAST_CHUNK).await
+        Ok(fault != ServerFault::BreakOff && !faults.framing.ends_connection())
     }
 }
--- /dev/null
+++ b/crates/verbenahinge-emulator/src/scripted_server/executed_request.rs
@@ -0,0 +1,30 @@
+//! Records of executed requests.
+
+use serde::{Deserialize, Serialize};
+
+/// Record of a request that a server executed.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ExecutedRequest {
+    /// Request ID.
+    pub request_id: String,
+    /// Method and request target, separated by a space.
+    pub target: String,
+    /// Request body, with invalid UTF-8 replaced.
+    pub body: String,
+    /// Client account in the request headers.
+    pub account: String,
+    /// API key in the request headers, which the router must not forward.
+    pub api_key: String,
+    /// Value of the deadline header in milliseconds, or 0.
+    pub deadline_ms: u64,
+    /// ID of the event after which the stream resumes, or 0.
+    pub last_event: u64,
+    /// Whether the complete response was sent.
+    pub is_complete: bool,
+    /// Whether the client closed the connection before an endless response ended.
+    pub was_closed: bool,
+    /// Time of its arrival since the start of the server, in milliseconds.
+    pub arrived_ms: u64,
+    /// Number of the connection that it arrived on, in the order of their opening.
+    pub connection: u64,
+}
--- a/crates/verbenahinge-emulator/src/scripted_server/request.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/request.rs
@@ -41,6 +41,7 @@
             is_complete: false,
             was_closed: false,
             arrived_ms: 0,
+            connection: 0,
         }
     }
 }
--- a/crates/verbenahinge-emulator/src/scripted_server/response.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/response.rs
@@ -2,8 +2,8 @@
 
 use verbenahinge_platform::http_headers;
 
-use super::ServerFault;
 use super::request::ParsedRequest;
+use super::{ServerFault, ServerFaults};
 
 /// Final chunk of a chunked body.
 pub(super) const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
@@ -42,17 +42,25 @@
 }
 
 /// Complete response whose body contains the request ID.
-pub(super) fn complete(request: &ParsedRequest, load: [u32; 3], limit_per_s: f64) -> Vec<u8> {
+pub(super) fn complete(request: &ParsedRequest, load: [u32; 3], faults: &ServerFaults) -> Vec<u8> {
     let body = format!("answer to {}", request.request_id);
     let [running, waiting, slots] = load;
     let headers = format!(
-        "{}{}{}: {running},{waiting},{slots}\r\ncontent-length: {}\r\n",
+        "{}{}{}: {running},{waiting},{slots}\r\n{}",
         signature_header(request),
-        limit_header(limit_per_s),
+        limit_header(faults.limit_per_s),
         http_headers::LOAD,
-        body.len(),
+        faults.framing.plain_headers(body.len()),
     );
-    format!("{}{body}", response_head("200 OK", request, &headers)).into_bytes()
+    let status = match faults.status {
+        0 | 200 => "200 OK".to_owned(),
+        status => format!("{status} Status"),
+    };
+    let mut bytes = response_head(&status, request, &headers).into_bytes();
+    if request.method != "HEAD" && !matches!(faults.status, 204 | 304) {
+        bytes.extend_from_slice(body.as_bytes());
+    }
+    bytes
 }
 
 /// Response without a length, whose body ends only when the connection closes.
@@ -102,11 +110,12 @@
 }
 
 /// Status line and headers of an event stream.
-pub(super) fn stream_head(request: &ParsedRequest, limit_per_s: f64) -> Vec<u8> {
+pub(super) fn stream_head(request: &ParsedRequest, faults: &ServerFaults) -> Vec<u8> {
     let headers = format!(
-        "{}{}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n",
+        "{}{}content-type: text/event-stream\r\n{}",
         signature_header(request),
-        limit_header(limit_per_s),
+        limit_header(faults.limit_per_s),
+        faults.framing.stream_headers(),
     );
     response_head("200 OK", request, &headers).into_bytes()
 }
--- /dev/null
+++ b/crates/verbenahinge-emulator/src/scripted_server/server_faults.rs
@@ -0,0 +1,25 @@
+//! Faults and timing.
+
+use serde::{Deserialize, Serialize};
+
+use super::{Framing, ServerFault};
+
+/// Faults and timing of a server.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default)]
+pub struct ServerFaults {
+    /// Fault to inject.
+    pub fault: ServerFault,
+    /// Number of requests that the fault affects; 0 means all.
+    pub times: u32,
+    /// Time before each response and after each event, in milliseconds.
+    pub work_ms: u64,
+    /// Number of events in a complete stream.
+    pub events: u64,
+    /// Rate limit that responses name, in requests per second; 0 means none.
+    pub limit_per_s: f64,
+    /// How a complete response, or one that is cut off, tells its end.
+    pub framing: Framing,
+    /// Status of plain responses; 0 means 200. Responses with 204 or 304 have no body.
+    pub status: u16,
+}
--- a/crates/verbenahinge-testkit/src/gateway_caller.rs
+++ b/crates/verbenahinge-testkit/src/gateway_caller.rs
@@ -42,6 +42,13 @@
         }
     }
 
+    /// Sets the method.
+    #[must_use]
+    pub fn method(mut self, method: Method) -> Self {
+        self.method = method;
+        self
+    }
+
     /// Sets the API key.
     #[must_use]
     pub fn api_key(mut self, api_key: &str) -> Self {
--- a/crates/verbenahinge/src/cli/emulate.rs
+++ b/crates/verbenahinge/src/cli/emulate.rs
@@ -126,6 +126,7 @@
             work_ms: option_or_default(matches, "work-ms", 5)?,
             events: option_or_default(matches, "events", 5)?,
             limit_per_s: option_or_default(matches, "limit", 0.0)?,
+            ..ServerFaults::default()
         },
     })
 }
