fix(gateway): a stream that ends inside an event without chunks has lost its connection

What callers would see: requests that crash their server in the middle of such a stream run on one server after the other, since no VM looks for a crash.

Cause: the clean end of a connection inside an event counted as `malformed`, and only `connection_lost` leads to the crash check. In a response without a length and without chunks that end is all that a lost connection shows. A stream whose last chunk comes inside an event stays `malformed`: its server ended it and is up.

Ruled out by the other tests, which passed before: whole responses and streams without a length are passed on whole and their connections not used again; cut heads, reset bodies and cut events are retried or resumed where the route allows it and never look whole; HEAD, 204 and 304 end without a body.

Evidence: before, cut_event_hides_crash failed: log of VM 0 does not contain "quarantined=true".

--- a/crates/verbenahinge/src/gateway/attempt.rs
+++ b/crates/verbenahinge/src/gateway/attempt.rs
@@ -5,7 +5,8 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use verbenahinge_core::gateway::{Call, RouteKind, ServerChoice};
 use verbenahinge_core::{FailureKind, ServerName, Timestamp};
@@ -44,6 +45,16 @@
     pub(crate) connection: PooledConnection,
 }
 
+impl OpenResponse {
+    /// Returns whether the body has neither a length nor chunks, so that it ends with the connection.
+    pub(crate) fn ends_with_connection(&self) -> bool {
+        let is_framed = [CONTENT_LENGTH, TRANSFER_ENCODING]
+            .iter()
+            .any(|name| self.headers.contains_key(name));
+        !is_framed && !self.body.is_end_stream()
+    }
+}
+
 /// Response of a backend server with its complete body.
 pub(crate) struct BufferedResponse {
     pub(crate) status: StatusCode,
--- a/crates/verbenahinge/src/gateway/relay.rs
+++ b/crates/verbenahinge/src/gateway/relay.rs
@@ -63,7 +63,12 @@
             );
             let Some(frame) = frame.await? else {
                 if self.splitter.has_incomplete_event() {
-                    return Err(AttemptError::Failed(FailureKind::Malformed));
+                    let kind = if response.ends_with_connection() {
+                        FailureKind::ConnectionLost
+                    } else {
+                        FailureKind::Malformed
+                    };
+                    return Err(AttemptError::Failed(kind));
                 }
                 return Ok(StreamItem::End);
             };
