fix(gateway): a stream without chunks that ends before its first event has lost its connection

What callers would see: status 200 and a stream that looks whole and has no event, when a server closes the connection between the head and the first event.

Cause: without a length and without chunks, the end of the connection is the end of the stream, and between events it can't be told from the end by the server. Before the first event it can: no request for a stream is answered without one, unless the caller names an event and may have all of them.

Change: such an end counts as `connection_lost`; a stream that may be resumed is sent to another server, any other gets 502. A caller that names its last event gets the empty stream as before.

Evidence: before, lost_stream_looks_empty failed: left: (200, true) right: (502, false).

--- a/crates/verbenahinge/src/gateway/relay.rs
+++ b/crates/verbenahinge/src/gateway/relay.rs
@@ -78,6 +78,12 @@
         }
     }
 
+    /// Returns whether the end of the stream may also be that of a lost connection.
+    fn ends_with_connection(&self) -> bool {
+        let response = self.response.as_ref();
+        response.is_some_and(OpenResponse::ends_with_connection)
+    }
+
     /// Returns the connection to the pool after the end of the stream.
     fn release_connection(&mut self) {
         if let Some(response) = self.response.take() {
@@ -221,6 +227,9 @@
                     handler.record_first_event(&server);
                     return start_response(handler, upstream, Some(event));
                 }
+                Ok(StreamItem::End) if last_event.is_none() && upstream.ends_with_connection() => {
+                    AttemptError::Failed(FailureKind::ConnectionLost)
+                }
                 Ok(StreamItem::End) => return start_response(handler, upstream, None),
                 Err(error) => error,
             },
--- a/crates/verbenahinge/tests/unframed_answers.rs
+++ b/crates/verbenahinge/tests/unframed_answers.rs
@@ -200,6 +200,37 @@
     fleet.wait_for_log(0, "failure=malformed").await;
 }
 
+/// Guards against a stream without chunks whose server closes the connection before the first event:
+/// it looked like a whole stream without events.
+#[actix_rt::test]
+async fn lost_stream_looks_empty() {
+    let fleet = start().await;
+    for server in 0..2 {
+        let faults = ServerFaults {
+            fault: ServerFault::BreakOffBetweenEvents,
+            framing: UNFRAMED[0],
+            events: 1,
+            ..ServerFaults::default()
+        };
+        fleet.set_server_faults(server, &faults).await;
+    }
+    let response = fleet.call(0, &stream_request("s1", "/single/x", 1)).await;
+    assert_eq!((response.status, response.is_signed()), (502, false));
+    assert_eq!(fleet.runs_of_request("s1").await.len(), 1);
+    inject(&fleet, 1, ServerFault::None, UNFRAMED[0]).await;
+    for part in 0..4 {
+        let id = format!("s2-{part}");
+        let response = fleet.call(0, &stream_request(&id, "/stream/x", part)).await;
+        assert!(response.is_complete, "{id}");
+        assert_eq!(response.event_ids(), [1, 2, 3, 4, 5], "{id}");
+    }
+    // The caller has all events, so none is left.
+    let request = stream_request("s3", "/stream/x", 1).last_event_id(5);
+    let response = fleet.call(0, &request).await;
+    assert_eq!((response.status, response.is_complete), (200, true));
+    assert_eq!(response.body, "");
+}
+
 #[actix_rt::test]
 async fn responses_without_body() {
     let fleet = start().await;
