fix(gateway): a request that arrives during a suspension is read before its connection ends

What callers saw: a reset without an answer, where a VM was suspended, a request arrived, and the idle timeout was over when the VM went on.

Cause: a signal that continues a process interrupts its wait for events, and tokio then runs the timers before it has asked for events again. The read of the connection found nothing though the request had arrived.

Change: after the timeout, a second read follows 10 ms later, and only then does the connection end. By then tokio has asked for events. A look at the socket itself would be exact, but needs a copy of its descriptor.

--- a/crates/verbenahinge/src/gateway/caller_stream.rs
+++ b/crates/verbenahinge/src/gateway/caller_stream.rs
@@ -7,6 +7,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use actix_rt::time::{Instant, Sleep, sleep_until};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -15,12 +16,18 @@
 use super::Gateway;
 use super::connection_activity::ConnectionActivity;
 
+/// Time after a deadline within which data is reported that arrived before it: at the end of a
+/// suspension, timers may fire first.
+const READ_DELAY: Duration = Duration::from_millis(10);
+
 /// Connection of a caller.
 pub(crate) struct CallerStream {
     stream: TcpStream,
     gateway: Rc<Gateway>,
     activity: Rc<ConnectionActivity>,
     timer: Pin<Box<Sleep>>,
+    /// Deadline that has passed, after which data may still be reported.
+    expired: Option<Instant>,
 }
 
 impl CallerStream {
@@ -34,6 +41,7 @@
             gateway,
             activity,
             timer: Box::pin(sleep_until(Instant::now())),
+            expired: None,
         }
     }
 
@@ -42,8 +50,13 @@
         let Some(deadline) = self.activity.deadline(&self.gateway) else {
             return Poll::Pending;
         };
-        if self.timer.deadline() != deadline {
-            self.timer.as_mut().reset(deadline);
+        if self.expired != Some(deadline) {
+            if self.timer.deadline() != deadline {
+                self.timer.as_mut().reset(deadline);
+            }
+            ready!(self.timer.as_mut().poll(context));
+            self.expired = Some(deadline);
+            self.timer.as_mut().reset(Instant::now() + READ_DELAY);
         }
         self.timer.as_mut().poll(context)
     }
--- a/crates/verbenahinge/tests/caller_limits.rs
+++ b/crates/verbenahinge/tests/caller_limits.rs
@@ -247,6 +247,23 @@
     read_answer(&mut stream, "r3").await;
 }
 
+/// Guards against idle timeouts that fire, after a suspension of the VM, before a request is read that
+/// has arrived meanwhile.
+#[actix_rt::test]
+async fn suspension_spares_requests() {
+    let mut fleet = start(&SHORT).await;
+    let mut stream = open(&fleet).await;
+    let request = head("r1", 0, 0);
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    read_answer(&mut stream, "r1").await;
+    fleet.vm_process(0).suspend();
+    let request = head("r2", 0, 0);
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    actix_rt::time::sleep(LONGER_THAN_SHORT).await;
+    fleet.vm_process(0).resume();
+    read_answer(&mut stream, "r2").await;
+}
+
 /// Guards against a low timeout that ends a request which is being read or served.
 #[actix_rt::test]
 async fn low_timeouts_spare_requests() {
