fix(core): changed bounds do not make a VM forget the retries before

What callers saw: nothing at once; backend servers could get twice the retries that the budget allows, in the window around a SIGHUP that changes any bound.

Cause: a change of the bounds cleared the retry windows, so that the whole slack could be spent again.

Change: windows keep what they have counted and take the new bounds.

--- a/crates/verbenahinge-core/src/gateway/retry_window.rs
+++ b/crates/verbenahinge-core/src/gateway/retry_window.rs
@@ -31,6 +31,11 @@
         }
     }
 
+    /// Replaces the bounds.
+    pub const fn set_bounds(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+    }
+
     /// Records a request of a caller.
     pub fn note_request(&mut self, now: Timestamp) {
         self.expire(now);
--- a/crates/verbenahinge-core/src/gateway/state.rs
+++ b/crates/verbenahinge-core/src/gateway/state.rs
@@ -86,11 +86,11 @@
         }
     }
 
-    /// Replaces the bounds; a change resets the retry windows.
+    /// Replaces the bounds; requests and retries that were counted before still count.
     pub fn set_bounds(&mut self, bounds: Bounds) {
-        if self.bounds != bounds {
-            self.bounds = bounds;
-            self.retry_windows.clear();
+        self.bounds = bounds;
+        for window in self.retry_windows.values_mut() {
+            window.set_bounds(bounds);
         }
     }
 
