fix(gateway): a VM follows the store to the address that its settings name

What callers saw: requests handled by an old configuration, on a VM whose settings name another address of the store since a reload.

Cause: each task that calls the store made its client once, with the address at the start.

Change: the tasks set the address in use before each call.

Evidence: before, moved_store_unknown failed: log of VM 0 does not contain "config_in_force version=8".

--- a/crates/verbenahinge-testkit/src/gateway_fleet.rs
+++ b/crates/verbenahinge-testkit/src/gateway_fleet.rs
@@ -114,8 +114,7 @@
             bounds: Bounds::default(),
             memory_mb: SMALLEST_VM_MB,
         };
-        let settings_file = self.dir.join(format!("{}.conf", settings.name));
-        std::fs::write(&settings_file, settings.to_string()).expect("failed to write the settings");
+        let settings_file = self.write_settings(&settings);
         let settings_file = settings_file.to_string_lossy().into_owned();
         let args = [
             "gateway",
@@ -130,6 +129,25 @@
         self.vms.push(GatewayVm { process, settings });
     }
 
+    /// Changes the settings of a VM and has it reload them.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the settings cannot be written.
+    pub fn change_settings(&mut self, vm: usize, change: impl FnOnce(&mut VmSettings)) {
+        let mut settings = self.vms[vm].settings.clone();
+        change(&mut settings);
+        self.write_settings(&settings);
+        self.vms[vm].settings = settings;
+        self.vms[vm].process.request_reload();
+    }
+
+    fn write_settings(&self, settings: &VmSettings) -> PathBuf {
+        let file = self.dir.join(format!("{}.conf", settings.name));
+        std::fs::write(&file, settings.to_string()).expect("failed to write the settings");
+        file
+    }
+
     /// Returns the log of a VM so far.
     ///
     /// # Panics
--- a/crates/verbenahinge/src/gateway.rs
+++ b/crates/verbenahinge/src/gateway.rs
@@ -36,6 +36,7 @@
 use verbenahinge_core::gateway::{Feed, GatewayState};
 use verbenahinge_core::{Fingerprint, ServerName, Timestamp};
 use verbenahinge_platform::node_file::VmSettings;
+use verbenahinge_platform::store::StoreClient;
 
 use self::caller_limits::LimitsFeed;
 use self::connection_pool::ConnectionPool;
@@ -86,6 +87,11 @@
         self.clock.now()
     }
 
+    /// Sets the address of the store that the settings in use name.
+    pub(crate) fn update_store_address(&self, store: &mut StoreClient) {
+        store.set_address(self.settings.borrow().store);
+    }
+
     fn new_call_id(&self) -> u64 {
         let id = self.last_call_id.get() + 1;
         self.last_call_id.set(id);
--- a/crates/verbenahinge/src/gateway/crash_store.rs
+++ b/crates/verbenahinge/src/gateway/crash_store.rs
@@ -110,6 +110,7 @@
         }
         gateway.crash_store.needs_sync.set(SyncNeed::None);
         jitter_seed = jitter_seed.wrapping_add(1);
+        gateway.update_store_address(&mut store);
         if let Err(error) = sync_once(&gateway, &mut store).await {
             log::debug!("failed to compare crash records with the store: {error}");
             gateway.crash_store.request(SyncNeed::Spread);
--- a/crates/verbenahinge/src/gateway/watch.rs
+++ b/crates/verbenahinge/src/gateway/watch.rs
@@ -165,6 +165,7 @@
         } else {
             watch_timeout(gateway.peers.live_count(sent_at) + 1)
         };
+        gateway.update_store_address(&mut store);
         match read_store(&gateway, &mut store, feed, timeout, needs_snapshot).await {
             Ok((rows, is_snapshot)) => {
                 let now = gateway.now();
@@ -243,6 +244,7 @@
         if gateway.replicas.newer_source(feed).is_none() {
             continue;
         }
+        gateway.update_store_address(&mut store);
         match read_store(&gateway, &mut store, feed, Duration::ZERO, false).await {
             Ok((rows, is_snapshot)) => {
                 apply_store_rows(&gateway, feed, rows, is_snapshot, StoreGap::None);
@@ -314,6 +316,7 @@
     loop {
         actix_rt::time::sleep(ISOLATION_CHECK_INTERVAL).await;
         if gateway.peers.is_isolated(gateway.now()) {
+            gateway.update_store_address(&mut store);
             match store.read_table(VM_TABLE).await {
                 Ok(rows) => {
                     for row in rows.rows {
@@ -342,5 +345,6 @@
         log::debug!("failed to write the address of this VM to the store: {error}");
         actix_rt::time::sleep(LOOKUP_PAUSE + jitter(jitter_seed, LOOKUP_PAUSE)).await;
         jitter_seed = jitter_seed.wrapping_add(1);
+        gateway.update_store_address(&mut store);
     }
 }
--- a/crates/verbenahinge/tests/gateway_operations.rs
+++ b/crates/verbenahinge/tests/gateway_operations.rs
@@ -1,7 +1,7 @@
 //! Logs and metrics record the outcome of requests, messages between VMs and settings reloads.
 
 use verbenahinge_emulator::scripted_server::ServerFault;
-use verbenahinge_testkit::{GatewayFleet, GatewayFleetOptions, GatewayRequest};
+use verbenahinge_testkit::{GatewayFleet, GatewayFleetOptions, GatewayRequest, LinkFault, Proxy};
 
 const BIN: &str = env!("CARGO_BIN_EXE_verbenahinge");
 const CONFIG: &str = include_str!("data/gateway.json");
@@ -71,3 +71,18 @@
     fleet.vm_process(0).request_reload();
     fleet.wait_for_log(0, "name=reloaded cause=signal").await;
 }
+
+/// Guards against a VM that keeps the address of the store that it started with.
+#[actix_rt::test]
+async fn moved_store_unknown() {
+    let mut fleet = GatewayFleet::start(BIN, GatewayFleetOptions::new(CONFIG).vms(0)).await;
+    let proxy = Proxy::start(fleet.store_address()).await;
+    fleet.add_vm_with_store(proxy.address());
+    fleet.wait_until_ready(0).await;
+    proxy.set_fault(LinkFault::Reset);
+    let store = fleet.store_address();
+    fleet.change_settings(0, |settings| settings.store = store);
+    let config = CONFIG.replace("\"version\": 7", "\"version\": 8");
+    fleet.write_config(&config).await;
+    fleet.wait_for_log(0, "config_in_force version=8").await;
+}
