fix(gateway): a server that resets new connections has not crashed

What callers saw: 503 for ten minutes from all VMs, for sound requests, after the connections to two servers were reset and new ones were reset too, once they were open.

Cause: the crash check took any failure to connect for a crash. A connection that was accepted and then reset fails in connect() if the reset is there before tokio looks at the socket, though a process accepted it.

Change: a reset of the new connection is no crash. A refused one is, and one that is not accepted in time.

--- a/crates/verbenahinge/src/gateway.rs
+++ b/crates/verbenahinge/src/gateway.rs
@@ -107,7 +107,8 @@
 
     /// Checks in the background whether a server whose connection broke has crashed.
     ///
-    /// A crashed server refuses a new connection, while one that only lost a connection accepts it.
+    /// A crashed server refuses a new connection, while one that only lost a connection accepts it, even
+    /// if it resets that one too.
     pub(crate) fn detect_crash(self: &Rc<Self>, server: ServerName, fingerprint: Fingerprint) {
         let gateway = Rc::clone(self);
         actix_rt::spawn(async move {
@@ -120,9 +121,10 @@
                 // An entry lapses seconds after a crash, so this server had left as planned.
                 return;
             };
-            if let Ok(lease) = gateway.connections.connect(&server, address).await {
-                lease.release(None, false);
-                return;
+            match gateway.connections.connect(&server, address).await {
+                Ok(lease) => return lease.release(None, false),
+                Err(error) if error.kind() == io::ErrorKind::ConnectionReset => return,
+                Err(error) => log::debug!("server {server} accepts no connection: {error}"),
             }
             let now = gateway.now();
             let is_new = {
