fix(gateway): a body that does not arrive in time ends its request with 408

What callers saw: nothing; a caller that sends half a body held its connection and a request for good, and a graceful shutdown waited for it.

Cause: neither the head timeout nor the idle timeout runs while a body is read, with hyper's timeout before or the limits in force now.

Change: the body has the time of the request (the lesser of the route's and the caller's, or the head timeout if there is no route); then the answer is 408, which says that the request has not run, and the connection closes.

Evidence: before, half_a_body failed: the connection stays open.

--- a/crates/verbenahinge/src/gateway/frontend.rs
+++ b/crates/verbenahinge/src/gateway/frontend.rs
@@ -121,6 +121,7 @@
     HeadTooLarge,
     TooLarge,
     UnreadableBody,
+    SlowBody,
     Quarantined,
 }
 
@@ -133,6 +134,7 @@
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::UnreadableBody => StatusCode::BAD_REQUEST,
+            Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
         }
     }
 
@@ -145,6 +147,7 @@
             Self::HeadTooLarge => "the head is larger than the limit",
             Self::TooLarge => "the body is larger than the limit",
             Self::UnreadableBody => "the body could not be read",
+            Self::SlowBody => "the body did not arrive in time",
             Self::Quarantined => "the request crashed backend servers and is not run again",
         }
     }
@@ -168,11 +171,19 @@
             .ok_or(RejectReason::Starting)
             .and_then(|routing| match_route(routing, &parts.uri, &parts.headers, &caller))
     };
+    let route_timeout = matched
+        .as_ref()
+        .map_or(limits.head_timeout, |matched| matched.route.timeout);
+    let timeout = caller
+        .max_wait
+        .map_or(route_timeout, |max_wait| max_wait.min(route_timeout));
     // The body is read even if the request is rejected, so that the caller can read the response.
-    let body = match Limited::new(body, limits.max_body_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(RejectReason::TooLarge),
-        Err(_) => Err(RejectReason::UnreadableBody),
+    let body = Limited::new(body, limits.max_body_bytes).collect();
+    let body = match actix_rt::time::timeout(timeout, body).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RejectReason::TooLarge),
+        Ok(Err(_)) => Err(RejectReason::UnreadableBody),
+        Err(_) => Err(RejectReason::SlowBody),
     };
     let (matched, body) = match (matched, body) {
         (Ok(matched), Ok(body)) => (matched, body),
@@ -181,10 +192,6 @@
     if gateway.is_closing.get() {
         return reject(gateway, &caller, &RejectReason::Closing);
     }
-    let route_timeout = matched.route.timeout;
-    let timeout = caller
-        .max_wait
-        .map_or(route_timeout, |max_wait| max_wait.min(route_timeout));
     let call_id = gateway.new_call_id();
     let seed = hash64(caller.request_id.as_deref().unwrap_or("").as_bytes());
     let Some(service) = matched.route.pick_service(seed).cloned() else {
--- a/crates/verbenahinge/tests/caller_limits.rs
+++ b/crates/verbenahinge/tests/caller_limits.rs
@@ -189,6 +189,19 @@
     assert!(fleet.runs(0).await.is_empty());
 }
 
+/// Guards against a connection that a caller holds for good with half a body.
+#[actix_rt::test]
+async fn half_a_body() {
+    let fleet = start(&SHORT).await;
+    let mut stream = open(&fleet).await;
+    let request = head("r1", 4, 0);
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    stream.write_all(b"bo").await.expect("sent");
+    let received = read_until_close(&mut stream).await;
+    assert!(received.starts_with("HTTP/1.1 408"), "{received}");
+    assert!(fleet.runs(0).await.is_empty());
+}
+
 /// Guards against connections that keep the maximum sizes under which they were opened.
 #[actix_rt::test]
 async fn changed_sizes() {
