test(emulator): servers that pause, and the fault of each run

`pause` sends nothing for `pause_ms` in the middle of a response or of an event and then goes on, `pause_at_start` before the response. A record names the fault of its run, or the last unsound one on the same connection, since an extra answer spoils the next request.

--- a/crates/verbenahinge-emulator/src/scripted_server.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server.rs
@@ -102,13 +102,14 @@
         stream.set_nodelay(true)?;
         let connection = self.connections.get() + 1;
         self.connections.set(connection);
+        let mut last_fault = ServerFault::None;
         let mut buffer = Vec::new();
         while let Some(request) = request::read_request(&mut stream, &mut buffer).await? {
             let keep_open = match (request.method.as_str(), request.target.as_str()) {
                 ("PUT", FAULTS_PATH) => self.set_faults(&mut stream, &request).await?,
                 ("GET", RUNS_PATH) => self.send_executed_requests(&mut stream).await?,
                 _ => {
-                    self.handle_request(&mut stream, &request, connection)
+                    self.handle_request(&mut stream, &request, connection, &mut last_fault)
                         .await?
                 }
             };
@@ -152,6 +153,7 @@
         stream: &mut TcpStream,
         request: &ParsedRequest,
         connection: u64,
+        last_fault: &mut ServerFault,
     ) -> io::Result<bool> {
         if request.expected_server != self.options.id {
             stream.write_all(&response::misdirected(request)).await?;
@@ -162,10 +164,14 @@
             stream.write_all(&response::not_executed(request)).await?;
             return Ok(true);
         }
+        if !fault.is_sound() || last_fault.is_sound() {
+            *last_fault = fault;
+        }
         let record_index = self.executed_requests.borrow().len();
         let arrived_ms = self.started.elapsed().as_millis();
         let executed = ExecutedRequest {
             arrived_ms: u64::try_from(arrived_ms).unwrap_or(u64::MAX),
+            fault: *last_fault,
             connection,
             ..request.to_executed_request()
         };
@@ -183,14 +189,14 @@
         fault: ServerFault,
         record_index: usize,
     ) -> io::Result<bool> {
-        let processing_time = Duration::from_millis(self.faults.borrow().work_ms);
-        let mut peeked = [0; 1];
-        // Stops when the client closes the connection or sends more data.
-        tokio::select! {
-            () = actix_rt::time::sleep(processing_time) => {}
-            _ = stream.peek(&mut peeked) => return Ok(false),
+        let faults = *self.faults.borrow();
+        let mut processing_ms = faults.work_ms;
+        if fault == ServerFault::PauseAtStart {
+            processing_ms += faults.pause_ms;
         }
+        events::wait(stream, Duration::from_millis(processing_ms)).await?;
         let load = [self.running.get(), 0, self.options.slots];
+        // They may have been changed meanwhile.
         let faults = *self.faults.borrow();
         match fault {
             ServerFault::LoseAnswer => return Ok(false),
@@ -243,7 +249,14 @@
             self.send_events(stream, request, fault).await?;
         } else {
             let bytes = response::complete(request, load, &faults);
-            stream.write_all(&bytes).await?;
+            let mut rest = &bytes[..];
+            if fault == ServerFault::Pause {
+                let (first, last) = bytes.split_at(bytes.len() - 2);
+                stream.write_all(first).await?;
+                events::wait(stream, Duration::from_millis(faults.pause_ms)).await?;
+                rest = last;
+            }
+            stream.write_all(rest).await?;
         }
         if let Some(executed) = self.executed_requests.borrow_mut().get_mut(record_index) {
             executed.is_complete = true;
--- a/crates/verbenahinge-emulator/src/scripted_server/events.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/events.rs
@@ -25,22 +25,35 @@
         let first = request.last_event + 1;
         for id in first..=faults.events {
             let event = response::event(id, &self.options.id);
-            if id == first.midpoint(faults.events) && fault.cuts_streams() {
+            let is_midpoint = id == first.midpoint(faults.events);
+            if is_midpoint && fault.cuts_streams() {
                 return cut_off(stream, fault, faults.framing, &event).await;
             }
-            stream.write_all(&faults.framing.encode(&event)).await?;
-            let mut peeked = [0; 1];
-            tokio::select! {
-                () = actix_rt::time::sleep(event_interval) => {}
-                _ = stream.peek(&mut peeked) => {
-                    return Err(io::Error::other("client disconnected or sent more data"));
-                }
+            let mut rest = &event[..];
+            if is_midpoint && fault == ServerFault::Pause {
+                let (half, second_half) = event.split_at(event.len() / 2);
+                stream.write_all(&faults.framing.encode(half)).await?;
+                wait(stream, Duration::from_millis(faults.pause_ms)).await?;
+                rest = second_half;
             }
+            stream.write_all(&faults.framing.encode(rest)).await?;
+            wait(stream, event_interval).await?;
         }
         stream.write_all(faults.framing.stream_end()).await
     }
 }
 
+/// Waits, unless the client closes the connection or sends more data.
+pub(super) async fn wait(stream: &TcpStream, time: Duration) -> io::Result<()> {
+    let mut peeked = [0; 1];
+    tokio::select! {
+        () = actix_rt::time::sleep(time) => Ok(()),
+        _ = stream.peek(&mut peeked) => {
+            Err(io::Error::other("client disconnected or sent more data"))
+        }
+    }
+}
+
 /// Cuts a stream off before the end of an event.
 async fn cut_off(
     stream: &mut TcpStream,
--- a/crates/verbenahinge-emulator/src/scripted_server/executed_request.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/executed_request.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::ServerFault;
+
 /// Record of a request that a server executed.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ExecutedRequest {
@@ -25,6 +27,8 @@
     pub was_closed: bool,
     /// Time of its arrival since the start of the server, in milliseconds.
     pub arrived_ms: u64,
+    /// Fault that was injected into the response, or else the last one on its connection.
+    pub fault: ServerFault,
     /// Number of the connection that it arrived on, in the order of their opening.
     pub connection: u64,
 }
--- a/crates/verbenahinge-emulator/src/scripted_server/request.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/request.rs
@@ -7,7 +7,7 @@
 use tokio::net::TcpStream;
 use verbenahinge_platform::http_headers;
 
-use super::ExecutedRequest;
+use super::{ExecutedRequest, ServerFault};
 
 /// Maximum number of headers of a request.
 const MAX_HEADERS: usize = 64;
@@ -41,6 +41,7 @@
             is_complete: false,
             was_closed: false,
             arrived_ms: 0,
+            fault: ServerFault::None,
             connection: 0,
         }
     }
--- a/crates/verbenahinge-emulator/src/scripted_server/server_fault.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/server_fault.rs
@@ -41,6 +41,10 @@
     Garbage,
     /// Sends a response without a length and ends it with a TCP reset.
     Unframed,
+    /// Sends nothing for a while, in the middle of a response or of an event, and then goes on.
+    Pause,
+    /// Sends nothing for a while before the response and then sends a correct one.
+    PauseAtStart,
     /// Stops in the middle of an event of a stream and keeps the connection open.
     Stall,
     /// Exits the process while it executes the request.
@@ -56,6 +60,12 @@
 }
 
 impl ServerFault {
+    /// Whether the response is correct and complete, though it may be late.
+    #[must_use]
+    pub const fn is_sound(self) -> bool {
+        matches!(self, Self::None | Self::Pause | Self::PauseAtStart)
+    }
+
     /// Whether the fault cuts off a stream after some events, or stops it there.
     pub(super) const fn cuts_streams(self) -> bool {
         matches!(
--- a/crates/verbenahinge-emulator/src/scripted_server/server_faults.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/server_faults.rs
@@ -14,6 +14,8 @@
     pub times: u32,
     /// Time before each response and after each event, in milliseconds.
     pub work_ms: u64,
+    /// Length of a pause, in milliseconds.
+    pub pause_ms: u64,
     /// Number of events in a complete stream.
     pub events: u64,
     /// Rate limit that responses name, in requests per second; 0 means none.
