test(soak): no request ends without a whole response or a refusal, unless a fault explains it

New faults, which draw from random numbers of their own, so that earlier seeds keep theirs: servers that pause for 1 to 1.6 s in a response or an event, or before it; responses that end with their connection, whole or cut off; configurations with other idle, head and route timeouts; VMs that reload changed settings. One after the other and overlapping. One more caller for each VM lets its connection be idle for as long as the limit allows.

New check: each exchange is held against what the VMs logged, what the servers ran with which fault, and when VMs were killed, suspended or shut down and links were disturbed. A failure, a broken stream, a connection that ends under a request or before its idle time is a violation if none of these explains it; the pause of a sound server does not. /read/ has 3 s instead of 2, so that a pause fits into its time.

A server pauses, /read/ gives it up after 600 ms and goes to a server whose connection is stalled: 504 after 2581 ms, where the first server would have answered after 1.6 s; a stream whose two servers pause is broken off after 2235 ms. No violation of another kind.

--- a/crates/verbenahinge/tests/fault_soak.rs
+++ b/crates/verbenahinge/tests/fault_soak.rs
@@ -6,12 +6,16 @@
 
 #[path = "fault_soak/callers.rs"]
 mod callers;
+#[path = "fault_soak/disturbances.rs"]
+mod disturbances;
 #[path = "fault_soak/fleet.rs"]
 mod fleet;
+#[path = "fault_soak/later_faults.rs"]
+mod later_faults;
 #[path = "fault_soak/rng.rs"]
 mod rng;
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -22,7 +26,7 @@
 use verbenahinge_platform::store::SERVER_TABLE;
 use verbenahinge_testkit::{CallerConnection, GatewayRequest};
 
-use self::callers::{STREAM_EVENTS, find_violation, run_caller};
+use self::callers::{CallerContext, STREAM_EVENTS, find_violation, run_caller, run_idle_caller};
 use self::fleet::{SERVER_COUNT, SoakFleet};
 use self::rng::SeededRng;
 
@@ -33,6 +37,9 @@
 /// Distinguishes the random numbers of faults that were added later.
 const EXTRA_FAULTS: u64 = 0x6572_6173;
 
+/// Distinguishes the random numbers of pauses, unframed responses, and changes of timeouts and settings.
+const LATER_FAULTS: u64 = 0x7061_7573;
+
 /// Largest fleet in which every VM watches the store.
 const MAX_ALL_WATCH: usize = 16;
 
@@ -73,6 +80,7 @@
     let rng = SeededRng::new(seed);
     // Faults that were added later draw from numbers of their own, so that earlier seeds keep theirs.
     let extra_rng = SeededRng::new(seed ^ EXTRA_FAULTS);
+    let later_rng = SeededRng::new(seed ^ LATER_FAULTS);
     let normal = ServerFaults {
         work_ms: 5 + rng.below(20),
         events: STREAM_EVENTS,
@@ -81,26 +89,26 @@
     for server in 0..SERVER_COUNT {
         soak.fleet.set_server_faults(server, &normal).await;
     }
-    let vm_addresses: Vec<_> = (0..soak.vm_count)
-        .map(|vm| soak.fleet.listen_address(vm))
-        .collect();
-    let exchanges = Rc::new(RefCell::new(Vec::new()));
-    let is_finished = Rc::new(Cell::new(false));
+    let context = CallerContext {
+        seed,
+        vm_addresses: (0..soak.vm_count)
+            .map(|vm| soak.fleet.listen_address(vm))
+            .collect(),
+        idle_limit_ms: Rc::clone(&soak.idle_limit_ms),
+        exchanges: Rc::default(),
+        is_finished: Rc::default(),
+    };
     let mut callers = Vec::new();
     for caller in 0..CALLER_COUNT {
-        let (vm_addresses, exchanges, is_finished) = (
-            vm_addresses.clone(),
-            Rc::clone(&exchanges),
-            Rc::clone(&is_finished),
-        );
-        callers.push(actix_rt::spawn(async move {
-            run_caller(caller, seed, &vm_addresses, &exchanges, &is_finished).await;
-        }));
+        callers.push(actix_rt::spawn(run_caller(caller, context.clone())));
+    }
+    for vm in 0..soak.vm_count {
+        callers.push(actix_rt::spawn(run_idle_caller(vm, context.clone())));
     }
     callers.push(actix_rt::spawn(send_crashing_requests(
-        vm_addresses.clone(),
+        context.vm_addresses.clone(),
         seed,
-        Rc::clone(&is_finished),
+        Rc::clone(&context.is_finished),
     )));
     let mut fault_log = Vec::new();
     for _ in 0..FAULT_COUNT {
@@ -108,12 +116,13 @@
         if extra_rng.below(4) == 0 {
             fault_log.push(soak.roll_back_store(&extra_rng).await);
         }
+        fault_log.extend(soak.inject_later_faults(&later_rng).await);
         actix_rt::time::sleep(Duration::from_millis(50 + rng.below(500))).await;
         soak.clear_faults(&rng, false).await;
         soak.restart_fragile_servers().await;
     }
     soak.clear_faults(&rng, true).await;
-    is_finished.set(true);
+    context.is_finished.set(true);
     join_all(callers).await;
     let mut violations = wait_for_recovery(&mut soak, seed).await;
     violations.extend(check_config(&soak).await);
@@ -123,26 +132,31 @@
     violations.extend(check_departure(&mut soak, rng.index(SERVER_COUNT)).await);
     // Requests that were forwarded before their caller disconnected may still be running.
     actix_rt::time::sleep(Duration::from_millis(500)).await;
-    let runs = soak.runs_by_request().await;
-    for exchange in exchanges.borrow().iter() {
-        let none = Vec::new();
-        let runs = runs.get(&exchange.id).unwrap_or(&none);
-        if let Some(violation) = find_violation(exchange, runs) {
-            violations.push(format!(
-                "request {} to {}: {violation}; {} runs, {:?}",
-                exchange.id,
-                exchange.path,
-                runs.len(),
-                exchange.response
-            ));
-        }
-    }
+    violations.extend(check_exchanges(&soak, &context).await);
     if !violations.is_empty() {
         violations.push(format!("faults: {}", fault_log.join("; ")));
     }
     violations
 }
 
+/// Returns the violations of guarantees to single requests.
+async fn check_exchanges(soak: &SoakFleet, context: &CallerContext) -> Vec<String> {
+    let mut traces = soak.traces();
+    for (id, runs) in soak.runs_by_request().await {
+        traces.entry(id).or_default().runs = runs;
+    }
+    let mut violations = Vec::new();
+    for exchange in context.exchanges.borrow().iter() {
+        let trace = traces.remove(&exchange.id).unwrap_or_default();
+        let violation = find_violation(exchange, &trace)
+            .or_else(|| soak.disturbances.find_loss(exchange, &trace));
+        if let Some(violation) = violation {
+            violations.push(format!("{violation}: {exchange:?}, {trace:?}"));
+        }
+    }
+    violations
+}
+
 /// Waits until every VM serves again, and returns a violation for each that does not.
 async fn wait_for_recovery(soak: &mut SoakFleet, seed: u64) -> Vec<String> {
     let mut violations = Vec::new();
--- a/crates/verbenahinge/tests/fault_soak/fleet.rs
+++ b/crates/verbenahinge/tests/fault_soak/fleet.rs
@@ -1,6 +1,8 @@
 //! The processes of a seed and the faults injected into them.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use verbenahinge_core::gateway::{ServerEntry, ServerState};
@@ -8,14 +10,27 @@
 use verbenahinge_emulator::scripted_server::{ExecutedRequest, ServerFault};
 use verbenahinge_testkit::{GatewayFleet, GatewayFleetOptions, LinkFault, Proxy};
 
+use crate::disturbances::{Disturbance, Disturbances, Trace};
 use crate::rng::SeededRng;
 
 const BIN: &str = env!("CARGO_BIN_EXE_verbenahinge");
 const CONFIG: &str = include_str!("../data/gateway.json");
 
+/// Timeouts of the routes in [`CONFIG`] and those that the soak sets instead, the normal ones and the
+/// short ones, in milliseconds. All but the first leave time for a pause of a server.
+const ROUTE_TIMEOUTS_MS: [(u64, u64, u64); 4] = [
+    (1000, 1000, 800),
+    (2000, 3000, 2600),
+    (4000, 4000, 2600),
+    (8000, 8000, 2600),
+];
+
 /// Number of VMs unless `SOAK_VMS` sets another.
 const DEFAULT_VMS: u8 = 3;
 
+/// Idle timeout of the first configuration.
+const FIRST_LIMITS_MS: u64 = 15_000;
+
 pub(crate) const SERVER_COUNT: usize = 4;
 
 /// Servers that crash when they run a request; they follow the others in the fleet.
@@ -27,7 +42,14 @@
     pub(crate) fleet: GatewayFleet,
     server_proxies: Vec<Proxy>,
     store_proxy: Proxy,
-    config_version: u64,
+    pub(crate) config_version: u64,
+    /// Idle and head timeout of the configuration that was last written.
+    pub(crate) limits_ms: u64,
+    /// Whether the configuration that was last written has shorter timeouts of routes.
+    pub(crate) has_short_routes: bool,
+    /// Idle timeout that callers go by.
+    pub(crate) idle_limit_ms: Rc<Cell<u64>>,
+    pub(crate) disturbances: Disturbances,
     /// Entry of each server as it was last written.
     entries: Vec<ServerEntry>,
     /// Starts of the fragile servers so far, by which their entries differ.
@@ -35,12 +57,34 @@
     is_store_faulty: bool,
 }
 
+/// A configuration with timeouts of connections, and with normal or short ones of routes.
+fn soak_config(version: u64, limits_ms: u64, has_short_routes: bool) -> String {
+    let mut config = CONFIG.replace("\"version\": 7", &format!("\"version\": {version}"));
+    if limits_ms != FIRST_LIMITS_MS {
+        for (name, first_ms) in [("header", 3000), ("idle", FIRST_LIMITS_MS)] {
+            let first = format!("{name}_timeout_ms\": {first_ms}");
+            config = config.replace(&first, &format!("{name}_timeout_ms\": {limits_ms}"));
+        }
+    }
+    for (first_ms, normal_ms, short_ms) in ROUTE_TIMEOUTS_MS {
+        let timeout_ms = if has_short_routes {
+            short_ms
+        } else {
+            normal_ms
+        };
+        let first = format!("\"timeout_ms\": {first_ms},");
+        config = config.replace(&first, &format!("\"timeout_ms\": {timeout_ms},"));
+    }
+    config
+}
+
 impl SoakFleet {
     pub(crate) async fn start() -> Self {
         let vm_count = std::env::var("SOAK_VMS").map_or(DEFAULT_VMS, |vms| {
             vms.parse().expect("SOAK_VMS is a number")
         });
-        let options = GatewayFleetOptions::new(CONFIG)
+        let config = soak_config(7, FIRST_LIMITS_MS, false);
+        let options = GatewayFleetOptions::new(config)
             .vms(vm_count - 1)
             .servers(SERVER_COUNT);
         let mut fleet = GatewayFleet::start(BIN, options).await;
@@ -70,6 +114,10 @@
             server_proxies,
             store_proxy,
             config_version: 7,
+            limits_ms: FIRST_LIMITS_MS,
+            has_short_routes: false,
+            idle_limit_ms: Rc::new(Cell::new(FIRST_LIMITS_MS)),
+            disturbances: Disturbances::default(),
             entries,
             fragile_starts: 1,
             is_store_faulty: false,
@@ -90,11 +138,15 @@
             0 => {
                 let link_fault = link_faults[rng.index(link_faults.len())];
                 self.server_proxies[server].set_fault(link_fault);
+                self.disturbances.begin(Disturbance::Link(server));
                 format!("link of server {server}: {link_fault:?}")
             }
             1 => {
                 self.server_proxies[server].reset_open_connections();
-                self.server_proxies[rng.index(SERVER_COUNT)].stall_open_connections();
+                self.disturbances.note_reset(server);
+                let stalled = rng.index(SERVER_COUNT);
+                self.server_proxies[stalled].stall_open_connections();
+                self.disturbances.note_stall(stalled);
                 format!(
                     "reset of open connections of server {server}, stall of those of a random server"
                 )
@@ -114,6 +166,7 @@
                 ];
                 let fault = faults[rng.index(faults.len())];
                 let times = u32::try_from(rng.below(6) + 1).expect("at most 6");
+                self.disturbances.note_unsound_server();
                 self.fleet.set_server_fault(server, fault, times).await;
                 format!("server {server}: {fault}")
             }
@@ -134,6 +187,7 @@
                 format!("{faults:?}")
             }
             6 => {
+                self.disturbances.begin(Disturbance::Suspension(vm));
                 self.fleet.vm_process(vm).suspend();
                 format!("suspension of VM {vm}")
             }
@@ -141,9 +195,12 @@
                 let process = self.fleet.vm_process(vm);
                 process.kill();
                 process.restart();
+                self.disturbances.note_kill(vm);
+                self.disturbances.end(Disturbance::Suspension(vm));
                 format!("kill and restart of VM {vm}")
             }
             8 => {
+                self.disturbances.begin(Disturbance::Shutdown(vm));
                 self.fleet.vm_process(vm).terminate();
                 format!("shutdown of VM {vm}")
             }
@@ -162,14 +219,13 @@
         }
     }
 
-    async fn clear_store_faults(&mut self) {
+    pub(crate) async fn clear_store_faults(&mut self) {
         self.fleet.set_store_faults(&StoreFaults::default()).await;
         self.is_store_faulty = false;
     }
 
-    async fn write_config(&self) {
-        let version = format!("\"version\": {}", self.config_version);
-        let config = CONFIG.replace("\"version\": 7", &version);
+    pub(crate) async fn write_config(&self) {
+        let config = soak_config(self.config_version, self.limits_ms, self.has_short_routes);
         self.fleet.write_config(&config).await;
     }
 
@@ -199,14 +255,18 @@
             let process = self.fleet.vm_process(vm);
             if all || rng.below(2) == 0 {
                 process.resume();
+                self.disturbances.end(Disturbance::Suspension(vm));
             }
+            let process = self.fleet.vm_process(vm);
             if process.has_exited() {
                 process.restart();
+                self.disturbances.end(Disturbance::Shutdown(vm));
             }
         }
         for server in 0..SERVER_COUNT {
             if all || rng.below(3) == 0 {
                 self.server_proxies[server].set_fault(LinkFault::None);
+                self.disturbances.end(Disturbance::Link(server));
             }
         }
         if all || rng.below(3) == 0 {
@@ -266,12 +326,34 @@
         }
     }
 
-    /// Runs on all servers, by request ID.
-    pub(crate) async fn runs_by_request(&self) -> BTreeMap<String, Vec<ExecutedRequest>> {
-        let mut runs: BTreeMap<String, Vec<ExecutedRequest>> = BTreeMap::new();
+    /// What the VMs have logged of each request.
+    pub(crate) fn traces(&self) -> BTreeMap<String, Trace> {
+        let mut traces: BTreeMap<String, Trace> = BTreeMap::new();
+        for vm in 0..self.vm_count {
+            for line in self.fleet.read_log(vm).lines() {
+                let field = |name: &str| {
+                    line.split_whitespace()
+                        .find_map(|word| word.strip_prefix(name))
+                };
+                let Some(id) = field("request_id=") else {
+                    continue;
+                };
+                let trace = traces.entry(id.to_owned()).or_default();
+                let server = field("server=").filter(|&server| server != "-");
+                trace.servers.extend(server.map(ToOwned::to_owned));
+                trace.has_ended |= !line.contains("name=attempt_failed ");
+            }
+        }
+        traces
+    }
+
+    /// Runs on all servers with the indices of the servers, by request ID.
+    pub(crate) async fn runs_by_request(&self) -> BTreeMap<String, Vec<(usize, ExecutedRequest)>> {
+        let mut runs: BTreeMap<String, Vec<_>> = BTreeMap::new();
         for server in 0..SERVER_COUNT {
             for run in self.fleet.runs(server).await {
-                runs.entry(run.request_id.clone()).or_default().push(run);
+                let runs = runs.entry(run.request_id.clone()).or_default();
+                runs.push((server, run));
             }
         }
         runs
