fix(testkit): an address is given to one test process only

Cause: free_address looks for a port that nobody listens on, but its emulator listens only later; another process may be given the same one in between, and the fleet then talks to a foreign emulator.

Change: a UDP socket on the port reserves it for as long as it is among the latest 512.

Evidence: addresses_are_reserved failed before and passes.

--- a/crates/verbenahinge-testkit/src/process.rs
+++ b/crates/verbenahinge-testkit/src/process.rs
@@ -1,7 +1,8 @@
 //! Child processes of a test.
 
+use std::collections::VecDeque;
 use std::fs::OpenOptions;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -36,7 +37,15 @@
 /// child holds a copy of every probe socket, which keeps its port in use and accepts connections.
 static SPAWN_LOCK: Mutex<()> = Mutex::new(());
 
-/// Returns a loopback address without a listener. No address is returned twice.
+/// Maximum number of ports that this process keeps reserved; a fleet uses two for each process.
+const MAX_RESERVED: usize = 512;
+
+/// UDP sockets that reserve the latest ports, so that no other test process is given them before
+/// something listens there.
+static RESERVED: Mutex<VecDeque<UdpSocket>> = Mutex::new(VecDeque::new());
+
+/// Returns a loopback address without a listener. No address is returned twice, nor to another test
+/// process for as long as it is one of the latest.
 ///
 /// # Panics
 ///
@@ -51,13 +60,25 @@
         let port = u16::try_from(port).expect("the range ends below 65536");
         let address = SocketAddr::from(([127, 0, 0, 1], port));
         let _guard = SPAWN_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
+        let Ok(reservation) = UdpSocket::bind(address) else {
+            continue;
+        };
         if TcpListener::bind(address).is_ok() {
+            reserve(reservation);
             return address;
         }
     }
     panic!("no free port in {PORT_RANGE:?}");
 }
 
+fn reserve(reservation: UdpSocket) {
+    let mut reserved = RESERVED.lock().unwrap_or_else(PoisonError::into_inner);
+    if reserved.len() >= MAX_RESERVED {
+        reserved.pop_front();
+    }
+    reserved.push_back(reservation);
+}
+
 impl Process {
     /// Starts the binary and waits until it accepts connections at the address.
     ///
--- a/crates/verbenahinge/tests/free_addresses.rs
+++ b/crates/verbenahinge/tests/free_addresses.rs
@@ -2,7 +2,7 @@
 //! started. Between fork and exec, a child process holds a copy of each socket that probes whether
 //! an address is free; the copy would keep that address in use.
 
-use std::net::TcpListener;
+use std::net::{TcpListener, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
@@ -56,3 +56,13 @@
     });
     assert!(bind_errors.is_empty(), "{bind_errors:?}");
 }
+
+/// Guards against two test processes that are given the same address.
+#[test]
+fn addresses_are_reserved() {
+    let address = free_address();
+    assert!(UdpSocket::bind(address).is_err());
+    assert!(TcpListener::bind(address).is_ok());
+    // What another test process does first is the same as here.
+    assert_ne!(free_address(), address);
+}
