--- a/crates/verbenahinge-bench/src/lib.rs
+++ b/crates/verbenahinge-bench/src/lib.rs
@@ -17,6 +17,7 @@
     reason = "counts and sizes of a run are small enough for f64 to represent exactly"
 )]
 
+mod config_costs;
 mod core_costs;
 mod deployment;
 mod dispatch_record;
@@ -36,6 +37,9 @@
 mod summary;
 mod trace;
 
+pub use self::config_costs::{
+    ConfigCosts, ServerTableCosts, generate_config, measure_config, measure_server_table,
+};
 pub use self::core_costs::{CoreCosts, CoreSizes, measure_core, measure_memory, resident_bytes};
 pub use self::deployment::{ClassLoad, Deployment, DeploymentName};
 pub use self::dispatch_record::DispatchRecord;
--- a/crates/verbenahinge-bench/src/main.rs
+++ b/crates/verbenahinge-bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Runs the standard scenarios and prints their metrics; optionally writes JSON and charts.
 
 use std::error::Error;
+use std::num::ParseIntError;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -8,7 +9,8 @@
 use strum::IntoEnumIterator;
 use verbenahinge_bench::{
     CoreSizes, DeploymentName, Fault, LoadPattern, Policy, Scenario, Summary, draw_chart,
-    format_table, measure_core, measure_gateway, measure_memory, run, to_json,
+    format_table, measure_config, measure_core, measure_gateway, measure_memory,
+    measure_server_table, run, to_json,
 };
 
 /// Offered loads as multiples of capacity.
@@ -43,6 +45,18 @@
             "slopes",
             "measure costs of the gateway and the core at several sizes instead",
         )
+        .optopt(
+            "",
+            "config-routes",
+            "measure the steps of a new configuration with these numbers of routes instead",
+            "N,N",
+        )
+        .optopt(
+            "",
+            "server-tables",
+            "measure the steps of tables with these numbers of backend servers instead",
+            "N,N",
+        )
         .optflag("h", "help", "show this help");
     let matches = options.parse(std::env::args().skip(1))?;
     if matches.opt_present("help") {
@@ -54,6 +68,13 @@
         print_core_costs();
         return Ok(());
     }
+    let route_counts = matches.opt_str("config-routes");
+    let server_counts = matches.opt_str("server-tables");
+    if route_counts.is_some() || server_counts.is_some() {
+        print_config_costs(&parse_counts(route_counts)?);
+        print_server_table_costs(&parse_counts(server_counts)?);
+        return Ok(());
+    }
     let seconds = matches.opt_get_default("seconds", 60)?;
     let seed = matches.opt_get_default("seed", 1)?;
     let name_filter = matches.opt_str("scenario").unwrap_or_default();
@@ -130,6 +151,48 @@
     }
 }
 
+fn parse_counts(text: Option<String>) -> Result<Vec<usize>, ParseIntError> {
+    let text = text.unwrap_or_default();
+    let counts = text.split(',').filter(|count| !count.is_empty());
+    counts.map(str::parse).collect()
+}
+
+/// Prints the time of each step of a new configuration.
+fn print_config_costs(route_counts: &[usize]) {
+    println!("routes  bytes  response_ns  base64_ns  replica_ns  routing_ns  adopt_ns  copy_ns");
+    for &routes in route_counts {
+        let costs = measure_config(routes);
+        println!(
+            "{routes:>6}  {}  {}  {}  {}  {}  {}  {}",
+            costs.bytes,
+            costs.response_ns,
+            costs.base64_ns,
+            costs.replica_ns,
+            costs.routing_ns,
+            costs.adopt_ns,
+            costs.copy_ns
+        );
+    }
+}
+
+/// Prints the time of each step of a table of backend servers.
+fn print_server_table_costs(server_counts: &[usize]) {
+    println!("servers  bytes  response_ns  replica_ns  add_ns  update_ns  digest_ns  tick_ns");
+    for &servers in server_counts {
+        let costs = measure_server_table(servers);
+        println!(
+            "{servers:>7}  {}  {}  {}  {}  {}  {}  {}",
+            costs.bytes,
+            costs.response_ns,
+            costs.replica_ns,
+            costs.add_ns,
+            costs.update_ns,
+            costs.digest_ns,
+            costs.tick_ns
+        );
+    }
+}
+
 /// Prints memory use at several sizes.
 ///
 /// Each step needs more memory than the ones before it, because freed memory is reused and growth
