feat(gateway): log and measure how long the thread of a VM was held, and what a configuration cost

On VMs with 0.12 of a core, requests were read seconds after they had arrived, and nothing in the log told a long step of one task from a process without processor time or from a full link.

- event 108 thread_held: a timer that fires ten times a second (that of the digests, so no wake-up is added) was 100 ms late or more, with the task that ran longest and for how long.
One line a hold.
- histogram verbenahinge_gateway_timer_delay_seconds with each delay of that timer.
- event 200 has the bytes and routes of a configuration, and the time to decode and to adopt it.

--- a/crates/verbenahinge-core/src/gateway.rs
+++ b/crates/verbenahinge-core/src/gateway.rs
@@ -11,6 +11,7 @@
 mod crash_guard;
 mod crash_record;
 mod feed;
+mod hold_monitor;
 mod members;
 mod number;
 mod part_cache;
@@ -34,6 +35,7 @@
 pub use self::feed::{
     Feed, FeedDelta, RowChange, RowState, StoreRow, watch_timeout, watches_store,
 };
+pub use self::hold_monitor::{HoldMonitor, MIN_HOLD};
 pub use self::members::{DIGEST_INTERVAL, GossipRound, Members, address_number};
 pub use self::part_cache::{PartCache, PartState};
 pub use self::placement::{PlacementContext, PlacementError, ServerChoice};
--- a/crates/verbenahinge-core/src/gateway/routing.rs
+++ b/crates/verbenahinge-core/src/gateway/routing.rs
@@ -216,6 +216,12 @@
         priorities.range(..priority).count()
     }
 
+    /// Number of routes.
+    #[must_use]
+    pub fn route_count(&self) -> usize {
+        self.hosts.values().map(BTreeMap::len).sum()
+    }
+
     /// Whether any API key is configured; without one, no route needs a key.
     #[must_use]
     pub fn has_accounts(&self) -> bool {
--- a/crates/verbenahinge/src/event_log.rs
+++ b/crates/verbenahinge/src/event_log.rs
@@ -27,6 +27,8 @@
     LogLinesDropped = 106,
     /// A connection could not be accepted.
     AcceptFailed = 107,
+    /// The thread of the process handled no event for a while.
+    ThreadHeld = 108,
     /// A version of the configuration came into force.
     ConfigInForce = 200,
     /// A patch was accepted.
@@ -103,6 +105,7 @@
             | Self::ReloadFailed
             | Self::LogLinesDropped
             | Self::AcceptFailed
+            | Self::ThreadHeld
             | Self::ConfigUnreadable
             | Self::ConfigOutdated
             | Self::ServerUnreadable
--- a/crates/verbenahinge/src/gateway.rs
+++ b/crates/verbenahinge/src/gateway.rs
@@ -19,6 +19,7 @@
 mod response;
 mod response_memory;
 mod shutdown;
+mod thread_holds;
 mod watch;
 
 use std::cell::{Cell, RefCell};
@@ -39,6 +40,7 @@
 use self::metrics::GatewayMetrics;
 use self::peers::Peers;
 use self::response_memory::ResponseMemory;
+use self::thread_holds::ThreadHolds;
 use self::watch::Replicas;
 use crate::clock::Clock;
 use crate::event_log::LogEvent;
@@ -66,6 +68,7 @@
     pub(crate) replicas: Replicas,
     pub(crate) crash_store: CrashStore,
     pub(crate) response_memory: ResponseMemory,
+    pub(crate) thread_holds: ThreadHolds,
     pub(crate) is_draining: Cell<bool>,
     pub(crate) requests_in_flight: Cell<usize>,
     /// Whether new requests are refused, because the process may exit before they complete.
@@ -184,6 +187,7 @@
         replicas: Replicas::new(),
         crash_store: CrashStore::new(),
         response_memory,
+        thread_holds: ThreadHolds::default(),
         is_draining: Cell::new(false),
         requests_in_flight: Cell::new(0),
         is_closing: Cell::new(false),
@@ -239,7 +243,10 @@
     T: Future<Output = ()> + 'static,
 {
     let gateway = Rc::clone(gateway);
-    supervise(name, move || task(Rc::clone(&gateway)));
+    supervise(name, move || {
+        let task = task(Rc::clone(&gateway));
+        thread_holds::measure_polls(Rc::clone(&gateway), name, task)
+    });
 }
 
 /// Periodically drops expired state and connections.
--- a/crates/verbenahinge/src/gateway/metrics.rs
+++ b/crates/verbenahinge/src/gateway/metrics.rs
@@ -2,10 +2,14 @@
 
 use std::time::Duration;
 
-use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder};
+use prometheus::{
+    Histogram, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder,
+};
 
 use super::peer_message::MessageKind;
 
+const TIMER_DELAY_BUCKETS_S: [f64; 6] = [0.01, 0.03, 0.1, 0.3, 1.0, 3.0];
+
 const LATENCY_BUCKETS_S: [f64; 11] = [0.01, 0.03, 0.06, 0.1, 0.15, 0.3, 0.6, 1.0, 2.0, 4.0, 8.0];
 
 /// Registry of the gateway's metrics; its families are missing if they could not be registered.
@@ -21,6 +25,7 @@
     rejected: IntCounterVec,
     sent_messages: IntCounterVec,
     sent_bytes: IntCounterVec,
+    timer_delay_seconds: Histogram,
 }
 
 impl Families {
@@ -36,7 +41,15 @@
             registry.register(Box::new(family.clone()))?;
             Ok::<_, prometheus::Error>(family)
         };
+        let opts = HistogramOpts::new(
+            "verbenahinge_gateway_timer_delay_seconds",
+            "Delay of a timer that fires ten times a second: how long the thread was held.",
+        );
+        let timer_delay_seconds =
+            Histogram::with_opts(opts.buckets(TIMER_DELAY_BUCKETS_S.to_vec()))?;
+        registry.register(Box::new(timer_delay_seconds.clone()))?;
         Ok(Self {
+            timer_delay_seconds,
             first_seconds: histogram(
                 "verbenahinge_gateway_first_seconds",
                 "Arrival to first event or whole answer, by route.",
@@ -130,6 +143,13 @@
         count(&families.sent_bytes, messages * bytes_each);
     }
 
+    /// Records by how much a periodic timer was late.
+    pub(crate) fn record_timer_delay(&self, delay: Duration) {
+        if let Some(families) = &self.families {
+            families.timer_delay_seconds.observe(delay.as_secs_f64());
+        }
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub(crate) fn encode(&self) -> String {
         match TextEncoder::new().encode_to_string(&self.registry.gather()) {
--- a/crates/verbenahinge/src/gateway/peers.rs
+++ b/crates/verbenahinge/src/gateway/peers.rs
@@ -26,7 +26,7 @@
 use self::permits::handle_permit;
 pub(super) use self::permits::{push_limit, request_permit};
 use super::peer_message::{LimitMessage, MessageKind, PeerMessage, pack_ip, unpack_ip};
-use super::{Gateway, crash_store, watch};
+use super::{Gateway, crash_store, thread_holds, watch};
 use crate::event_log::LogEvent;
 
 /// Size of the receive buffer; the rest of a longer datagram is lost.
@@ -151,7 +151,7 @@
 pub(super) async fn send_digests(gateway: Rc<Gateway>) {
     let mut last_sent: BTreeMap<u64, ServerDigest> = BTreeMap::new();
     loop {
-        actix_rt::time::sleep(DIGEST_INTERVAL).await;
+        thread_holds::measured_sleep(&gateway, DIGEST_INTERVAL).await;
         let now = gateway.now();
         let mut digest = gateway.state.borrow().full_digest(now);
         let mut changed = digest.servers.clone();
--- a/crates/verbenahinge/src/gateway/watch/row_changes.rs
+++ b/crates/verbenahinge/src/gateway/watch/row_changes.rs
@@ -5,7 +5,7 @@
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use verbenahinge_core::gateway::{
     Feed, FeedDelta, RowChange, RowState, StoreGap, StoreRow, StoreVersion,
@@ -137,16 +137,28 @@
     let (CONFIG_KEY, RowState::Present(value)) = (row.key.as_str(), &row.state) else {
         return;
     };
+    let started = Instant::now();
     match routing::decode(value) {
         Ok(routing) => {
+            let decode_time = started.elapsed();
             let version = routing.version;
+            let routes = routing.route_count();
             let in_force = gateway.state.borrow().config_version();
+            let started = Instant::now();
             if gateway.state.borrow_mut().adopt_routing(routing) {
+                let adopt_time = started.elapsed();
                 gateway
                     .replicas
                     .config_in_force
                     .replace(Some(value.clone()));
-                LogEvent::ConfigInForce.log(&[("version", &version), ("source", &source)]);
+                LogEvent::ConfigInForce.log(&[
+                    ("version", &version),
+                    ("source", &source),
+                    ("bytes", &value.len()),
+                    ("routes", &routes),
+                    ("decode_us", &decode_time.as_micros()),
+                    ("adopt_us", &adopt_time.as_micros()),
+                ]);
             } else if version < in_force {
                 LogEvent::ConfigOutdated.log(&[
                     ("version", &version),
