fix(gateway): timers that fire after a hold no longer end attempts whose answers wait in the socket

What callers would see: after a hold of a VM of over a second, all its resumable streams and all safe requests with a second attempt count their servers as silent, though the answers lie in the sockets. Each is run again, the servers are ejected, and what has no attempt, time or retry budget left is broken off or failed.

Cause: a wait of the runtime that a signal interrupts (here SIGCONT) returns no readable sockets, but expired timers fire. The task then finds no bytes and gives up. Class: a timer is taken for silence of the other side without a look at what has arrived.

Ruled out: order of wake-ups.

Change: verbenahinge_http::timeout lets the runtime read the sockets, and run the tasks that this wakes, before it reports a timeout. It replaces tokio's at all waits for bytes: attempts, streams, connects, pooled connections, load and permit queries, tables of other VMs, responses of the store, bodies of operators.

--- a/crates/verbenahinge-http/src/body.rs
+++ b/crates/verbenahinge-http/src/body.rs
@@ -50,7 +50,7 @@
         }
         Ok(body.freeze())
     };
-    match actix_rt::time::timeout(BODY_TIMEOUT, read).await {
+    match crate::timeout(BODY_TIMEOUT, read).await {
         Ok(body) => body,
         Err(_) => Err(BodyError::Timeout),
     }
--- a/crates/verbenahinge-http/src/connect.rs
+++ b/crates/verbenahinge-http/src/connect.rs
@@ -28,7 +28,7 @@
 /// Returns an error if the connection cannot be opened or configured, with the kind
 /// [`io::ErrorKind::TimedOut`] if it was not established within `timeout`.
 pub async fn connect(address: SocketAddr, timeout: Duration) -> io::Result<TcpStream> {
-    let stream = tokio::time::timeout(timeout, TcpStream::connect(address))
+    let stream = crate::timeout(timeout, TcpStream::connect(address))
         .await
         .map_err(|_| {
             let message = format!("{address} did not accept a connection within {timeout:?}");
--- a/crates/verbenahinge-http/src/lib.rs
+++ b/crates/verbenahinge-http/src/lib.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 server, request body parsing and response helpers on top of actix-http.
 //!
-//! [`connect()`] opens client connections with TCP keepalive.
+//! [`connect()`] opens client connections with TCP keepalive, and [`timeout()`] waits for what arrives
+//! on them.
 //!
 //! The router and the emulator share this code, so that both apply the same limits and return the
 //! same error responses.
@@ -22,9 +23,11 @@
 mod headers;
 mod response;
 mod server;
+mod timeout;
 
 pub use self::body::{BodyError, read_body, read_json};
 pub use self::connect::connect;
 pub use self::headers::header_text;
 pub use self::response::{HttpResponse, empty, json, text};
 pub use self::server::{HttpRequest, Server};
+pub use self::timeout::{TimeoutError, timeout};
--- a/crates/verbenahinge/src/gateway/attempt.rs
+++ b/crates/verbenahinge/src/gateway/attempt.rs
@@ -143,7 +143,8 @@
             };
             let sent_at = self.now();
             let timeout = deadline.saturating_sub(sent_at);
-            let result = actix_rt::time::timeout(timeout, sender.try_send_request(outgoing)).await;
+            let result =
+                verbenahinge_http::timeout(timeout, sender.try_send_request(outgoing)).await;
             let response = match result {
                 Err(_) => return Err(AttemptError::TimeUp),
                 Ok(Ok(response)) => response,
@@ -217,7 +218,7 @@
     ) -> Result<BufferedResponse, AttemptError> {
         let body = self.read_body(response.body);
         let timeout = deadline.saturating_sub(self.now());
-        let body = match actix_rt::time::timeout(timeout, body).await {
+        let body = match verbenahinge_http::timeout(timeout, body).await {
             Ok(body) => body?,
             Err(_) => return Err(AttemptError::TimeUp),
         };
--- a/crates/verbenahinge/src/gateway/connection_pool.rs
+++ b/crates/verbenahinge/src/gateway/connection_pool.rs
@@ -153,7 +153,7 @@
         let Some(sender) = &mut self.sender else {
             return false;
         };
-        let ready = actix_rt::time::timeout(READY_TIMEOUT, sender.ready()).await;
+        let ready = verbenahinge_http::timeout(READY_TIMEOUT, sender.ready()).await;
         matches!(ready, Ok(Ok(())))
     }
 
--- a/crates/verbenahinge/src/gateway/peers/feeds.rs
+++ b/crates/verbenahinge/src/gateway/peers/feeds.rs
@@ -138,7 +138,7 @@
         }) => format!("{FEED_PATH}/{number}/{since}"),
         Some(since) => format!("{FEED_PATH}/{number}/{since}"),
     };
-    match actix_rt::time::timeout(FETCH_TIMEOUT, http_get(address, &path)).await {
+    match verbenahinge_http::timeout(FETCH_TIMEOUT, http_get(address, &path)).await {
         Ok(Ok(bytes)) => match DeltaMessage::decode(bytes) {
             Ok(message) => return Some(message.into_delta()),
             Err(error) => {
--- a/crates/verbenahinge/src/gateway/peers/load.rs
+++ b/crates/verbenahinge/src/gateway/peers/load.rs
@@ -117,7 +117,7 @@
         message.query_id = query_id;
         send_to(gateway, MessageKind::LoadQuery, message, &[ip]).await;
     }
-    let in_time = actix_rt::time::timeout(QUERY_TIMEOUT, completed).await;
+    let in_time = verbenahinge_http::timeout(QUERY_TIMEOUT, completed).await;
     peers.pending_queries.borrow_mut().remove(&query_id);
     if let ([only], true) = (receivers.as_slice(), in_time.is_err()) {
         peers
--- a/crates/verbenahinge/src/gateway/peers/permits.rs
+++ b/crates/verbenahinge/src/gateway/peers/permits.rs
@@ -30,7 +30,7 @@
     let mut message = permit_message(gateway, hash, query_id);
     message.is_permit_query = true;
     send_to(gateway, MessageKind::PermitQuery, message, &[ip]).await;
-    let reply = actix_rt::time::timeout(QUERY_TIMEOUT, completed).await;
+    let reply = verbenahinge_http::timeout(QUERY_TIMEOUT, completed).await;
     peers.pending_permits.borrow_mut().remove(&query_id);
     if let Ok(Ok(is_granted)) = reply {
         return is_granted;
--- a/crates/verbenahinge/src/gateway/relay.rs
+++ b/crates/verbenahinge/src/gateway/relay.rs
@@ -105,7 +105,7 @@
             return Err(AttemptError::TimeUp);
         }
         let timeout = deadline.saturating_sub(now).min(stall_timeout);
-        match actix_rt::time::timeout(timeout, response.body.frame()).await {
+        match verbenahinge_http::timeout(timeout, response.body.frame()).await {
             Ok(Some(Ok(frame))) => {
                 gateway
                     .state
@@ -179,7 +179,7 @@
     );
     tokio::pin!(pending_response);
     let response = loop {
-        match actix_rt::time::timeout(initial_stall_timeout, &mut pending_response).await {
+        match verbenahinge_http::timeout(initial_stall_timeout, &mut pending_response).await {
             Ok(response) => break response?,
             Err(_) if is_silent(handler, server, started_at, initial_stall_timeout) => {
                 return Err(AttemptError::Failed(FailureKind::Silent));
--- a/crates/verbenahinge/tests/held_threads.rs
+++ b/crates/verbenahinge/tests/held_threads.rs
@@ -3,13 +3,19 @@
 use std::time::Duration;
 
 use verbenahinge_emulator::scripted_server::ServerFaults;
-use verbenahinge_testkit::{GatewayFleet, GatewayFleetOptions};
+use verbenahinge_testkit::{
+    CallerConnection, GatewayFleet, GatewayFleetOptions, GatewayRequest, GatewayResponse,
+};
 
 const BIN: &str = env!("CARGO_BIN_EXE_verbenahinge");
 const CONFIG: &str = include_str!("data/gateway.json");
 
 async fn start(work_ms: u64, events: u64) -> GatewayFleet {
-    let fleet = GatewayFleet::start(BIN, GatewayFleetOptions::new(CONFIG)).await;
+    start_with(CONFIG, work_ms, events).await
+}
+
+async fn start_with(config: &str, work_ms: u64, events: u64) -> GatewayFleet {
+    let fleet = GatewayFleet::start(BIN, GatewayFleetOptions::new(config)).await;
     for server in 0..2 {
         let faults = ServerFaults {
             work_ms,
@@ -32,6 +38,27 @@
     fleet.vm_process(0).resume();
 }
 
+/// Sends the request on a new connection and stops the VM while the server works on it.
+async fn call_held(
+    fleet: &mut GatewayFleet,
+    request: &GatewayRequest,
+    hold_ms: u64,
+) -> GatewayResponse {
+    let address = fleet.listen_address(0);
+    let request = request.clone();
+    let call = actix_rt::spawn(async move {
+        let mut connection = CallerConnection::open(address)
+            .await
+            .expect("a connection to the VM");
+        connection.call(&request).await
+    });
+    sleep_ms(50).await;
+    hold(fleet, hold_ms).await;
+    call.await
+        .expect("the call does not panic")
+        .expect("a response of the VM")
+}
+
 #[actix_rt::test]
 async fn holds_logged() {
     let mut fleet = start(5, 5).await;
@@ -41,3 +68,22 @@
     let line = "verbenahinge_gateway_timer_delay_seconds_bucket{le=\"0.3\"} ";
     assert!(text.contains(line), "{line} not in {text}");
 }
+
+/// Guards against timers that end an attempt though its answer waits in the socket.
+#[actix_rt::test]
+async fn answers_arrive_while_held() {
+    let mut fleet = start(200, 8).await;
+    for (path, hold_ms) in [("/stream/x", 1700), ("/read/x", 1000), ("/once/x", 1200)] {
+        let mut request = GatewayRequest::new(path, path).deadline_ms(7000);
+        if path == "/stream/x" {
+            request = request.prompt(1, 2);
+        }
+        let response = call_held(&mut fleet, &request, hold_ms).await;
+        assert_eq!(
+            (response.status, response.is_complete),
+            (200, true),
+            "{path}"
+        );
+        assert_eq!(fleet.runs_of_request(path).await.len(), 1, "{path}");
+    }
+}
