fix(gateway): a connection whose next request waits in the socket is not closed as idle

What callers saw in the test: a request that was sent on a kept connection while the VM was held past the end of the idle timeout got neither an answer nor a refusal, but a reset.

Cause: hyper reads the socket before it looks at its idle timer, but after a wait that a signal interrupted the runtime does not know yet that the socket is readable, and the timer has fired.

Change: the timer of the connections lets the runtime read its sockets after the deadline, before it wakes the connection (ReadFirstTimer, for callers and for the control address).

--- a/crates/verbenahinge/src/gateway.rs
+++ b/crates/verbenahinge/src/gateway.rs
@@ -14,6 +14,7 @@
 mod metrics;
 mod peer_message;
 mod peers;
+mod read_first_timer;
 mod relay;
 mod request_handler;
 mod response;
--- a/crates/verbenahinge/src/gateway/control.rs
+++ b/crates/verbenahinge/src/gateway/control.rs
@@ -10,10 +10,11 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use verbenahinge_platform::READY_PATH;
 
+use super::read_first_timer::ReadFirstTimer;
 use super::{Gateway, peers};
 use crate::event_log::LogEvent;
 
@@ -47,7 +48,7 @@
         async move { Ok::<_, Infallible>(response) }
     });
     let ended = http1::Builder::new()
-        .timer(TokioTimer::new())
+        .timer(ReadFirstTimer)
         .header_read_timeout(IDLE_TIMEOUT)
         .serve_connection(TokioIo::new(stream), service)
         .await;
--- a/crates/verbenahinge/src/gateway/frontend.rs
+++ b/crates/verbenahinge/src/gateway/frontend.rs
@@ -13,7 +13,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Request, StatusCode, Uri};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use verbenahinge_core::gateway::{
     Account, Call, CallerLimits, RETRY_AFTER_MIN, Route, RouteKind, Routing, retry_after,
@@ -23,6 +23,7 @@
 
 use super::Gateway;
 use super::attempt::CallerRequest;
+use super::read_first_timer::ReadFirstTimer;
 use super::request_handler::{RequestGuard, RequestHandler};
 use super::response::{CallerResponse, announce_connection_close, error_response};
 use crate::event_log::LogEvent;
@@ -80,7 +81,7 @@
     // hyper's timeout covers both the wait for a request and the reading of its head.
     let head_timeout = limits.idle_timeout.max(limits.head_timeout);
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
+        .timer(ReadFirstTimer)
         .header_read_timeout(head_timeout)
         .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
--- a/crates/verbenahinge/tests/held_threads.rs
+++ b/crates/verbenahinge/tests/held_threads.rs
@@ -87,3 +87,26 @@
         assert_eq!(fleet.runs_of_request(path).await.len(), 1, "{path}");
     }
 }
+
+/// Guards against an idle timeout that closes a connection whose next request waits in the socket.
+#[actix_rt::test]
+async fn requests_arrive_while_held() {
+    let config = CONFIG
+        .replace("\"idle_timeout_ms\": 15000", "\"idle_timeout_ms\": 900")
+        .replace("\"header_timeout_ms\": 3000", "\"header_timeout_ms\": 900");
+    let mut fleet = start_with(&config, 5, 5).await;
+    let mut connection = CallerConnection::open(fleet.listen_address(0))
+        .await
+        .expect("a connection to the VM");
+    let first = connection.call(&GatewayRequest::new("r1", "/read/x")).await;
+    assert_eq!(first.expect("a response").status, 200);
+    fleet.vm_process(0).suspend();
+    let second = actix_rt::spawn(async move {
+        let request = GatewayRequest::new("r2", "/read/x").deadline_ms(7000);
+        connection.call(&request).await
+    });
+    sleep_ms(1500).await;
+    fleet.vm_process(0).resume();
+    let second = second.await.expect("the call does not panic");
+    assert_eq!(second.expect("a response").status, 200);
+}
