fix(gateway): a VM sends at most two large tables at a time, and fetches end when they stall

What callers would see: requests and answers of a VM that watches the store wait behind configurations that it sends to others. Of 86 VMs that do not watch, 17 fetch 200 KB from each of the five that do, at once: 27 Mbit, 2.7 s at 10 Mbit/s (worked out). Each fetch is given up after 0.4 s, its bytes are lost, and the next version begins the same again.

Cause: no bound on the tables that are sent at a time, and one timeout for a whole transfer of any size.

Change: - At most two tables above 16 KB are sent at a time; others get 503, and the VMs that fetch go to the store at once, as they did after a failure.

Evidence: slow_links::table_transfers_limited, five VMs that take in little. Before: all five get status 200; after: 200, 200, 503, 503, 503, and 200 again once they are gone.

--- a/crates/verbenahinge-testkit/src/gateway_fleet.rs
+++ b/crates/verbenahinge-testkit/src/gateway_fleet.rs
@@ -175,17 +175,26 @@
             .expect("no response from the VM")
     }
 
+    /// Control address of a VM.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the VM has no control address.
+    #[must_use]
+    pub fn control_address(&self, vm: usize) -> SocketAddr {
+        let settings = &self.vms[vm].settings;
+        settings
+            .control_listen
+            .expect("the VM has no control address")
+    }
+
     /// Fetches a path from the control address of a VM; empty if the request fails.
     ///
     /// # Panics
     ///
     /// Panics if the VM has no control address.
     pub async fn fetch_control(&self, vm: usize, path: &str) -> String {
-        let control = self.vms[vm]
-            .settings
-            .control_listen
-            .expect("the VM has no control address");
-        let bytes = fetch(control, Method::GET, path, Bytes::new()).await;
+        let bytes = fetch(self.control_address(vm), Method::GET, path, Bytes::new()).await;
         bytes.map_or_else(String::new, |(_, body)| {
             String::from_utf8_lossy(&body).into_owned()
         })
--- a/crates/verbenahinge/src/gateway.rs
+++ b/crates/verbenahinge/src/gateway.rs
@@ -20,6 +20,7 @@
 mod response;
 mod response_memory;
 mod shutdown;
+mod table_body;
 mod thread_holds;
 mod watch;
 
--- a/crates/verbenahinge/src/gateway/control.rs
+++ b/crates/verbenahinge/src/gateway/control.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{Either, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -14,10 +14,18 @@
 use tokio::net::{TcpListener, TcpStream};
 use verbenahinge_platform::READY_PATH;
 
+use super::peers::TableRefusal;
 use super::read_first_timer::ReadFirstTimer;
+use super::table_body::TableBody;
 use super::{Gateway, peers};
 use crate::event_log::LogEvent;
 
+/// Body of a response.
+type ControlBody = Either<Full<Bytes>, TableBody>;
+
+/// Maximum number of bytes that wait for the link of one connection.
+const MAX_BUFFERED_BYTES: usize = 64 << 10;
+
 /// Path prefix under which other VMs fetch the store's tables.
 pub(super) const FEED_PATH: &str = "/gateway/feeds";
 
@@ -50,6 +58,7 @@
     let ended = http1::Builder::new()
         .timer(ReadFirstTimer)
         .header_read_timeout(IDLE_TIMEOUT)
+        .max_buf_size(MAX_BUFFERED_BYTES)
         .serve_connection(TokioIo::new(stream), service)
         .await;
     if let Err(error) = ended {
@@ -57,24 +66,35 @@
     }
 }
 
-fn respond(gateway: &Gateway, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+fn respond(gateway: &Gateway, request: &Request<Incoming>) -> Response<ControlBody> {
     let (status, body) = match request.uri().path() {
-        READY_PATH if is_ready(gateway) => (StatusCode::OK, Bytes::new()),
-        READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
-        "/metrics" => (StatusCode::OK, gateway.metrics.encode().into()),
+        READY_PATH if is_ready(gateway) => (StatusCode::OK, empty_body()),
+        READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, empty_body()),
+        "/metrics" => {
+            let text = gateway.metrics.encode();
+            (StatusCode::OK, Either::Left(Full::new(text.into())))
+        }
         path => {
-            let feed = path.strip_prefix(FEED_PATH);
-            match feed.and_then(|path| peers::encode_feed(gateway, path)) {
-                Some(bytes) => (StatusCode::OK, bytes),
-                None => (StatusCode::NOT_FOUND, Bytes::new()),
+            let feed = path
+                .strip_prefix(FEED_PATH)
+                .ok_or(TableRefusal::Unknown)
+                .and_then(|path| peers::encode_feed(gateway, path));
+            match feed {
+                Ok(body) => (StatusCode::OK, Either::Right(body)),
+                Err(TableRefusal::Unknown) => (StatusCode::NOT_FOUND, empty_body()),
+                Err(TableRefusal::Busy) => (StatusCode::SERVICE_UNAVAILABLE, empty_body()),
             }
         }
     };
-    let mut response = Response::new(Full::new(body));
+    let mut response = Response::new(body);
     *response.status_mut() = status;
     response
 }
 
+fn empty_body() -> ControlBody {
+    Either::Left(Full::default())
+}
+
 /// Whether the VM can serve requests and is not draining.
 fn is_ready(gateway: &Gateway) -> bool {
     gateway.state.borrow().is_serving() && !gateway.is_draining.get()
--- a/crates/verbenahinge/src/gateway/peers.rs
+++ b/crates/verbenahinge/src/gateway/peers.rs
@@ -19,13 +19,16 @@
 use verbenahinge_core::hash::jitter;
 use verbenahinge_platform::node_file::VmSettings;
 
-pub(super) use self::feeds::{encode_feed, fetch_delta, fetch_feed, push_change};
+pub(super) use self::feeds::{
+    FetchPatience, TableRefusal, encode_feed, fetch_delta, fetch_feed, push_change,
+};
 use self::feeds::{feed_versions, handle_feed};
 use self::load::{PendingQuery, handle_query_or_reply, send_to_aggregators};
 pub(super) use self::load::{query_load, send_load};
 use self::permits::handle_permit;
 pub(super) use self::permits::{push_limit, request_permit};
 use super::peer_message::{LimitMessage, MessageKind, PeerMessage, pack_ip, unpack_ip};
+use super::table_body::TableTransfers;
 use super::{Gateway, crash_store, thread_holds, watch};
 use crate::event_log::LogEvent;
 
@@ -54,6 +57,7 @@
     pending_queries: RefCell<BTreeMap<u64, PendingQuery>>,
     pending_permits: RefCell<BTreeMap<u64, oneshot::Sender<bool>>>,
     slow_until: RefCell<BTreeMap<IpAddr, Timestamp>>,
+    table_transfers: TableTransfers,
 }
 
 impl Peers {
@@ -73,6 +77,7 @@
             pending_queries: RefCell::default(),
             pending_permits: RefCell::default(),
             slow_until: RefCell::default(),
+            table_transfers: TableTransfers::default(),
         };
         for seed in &settings.seeds {
             peers.add(now, seed.ip());
--- a/crates/verbenahinge/src/gateway/peers/feeds.rs
+++ b/crates/verbenahinge/src/gateway/peers/feeds.rs
@@ -5,10 +5,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::Request;
 use hyper::client::conn::http1;
+use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use prost::Message as _;
 use strum::IntoEnumIterator;
@@ -20,14 +20,46 @@
 use crate::gateway::peer_message::{
     DeltaMessage, FeedMessage, MessageKind, PeerMessage, feed_from_number, feed_number,
 };
+use crate::gateway::table_body::TableBody;
 use crate::gateway::{Gateway, watch};
 
 /// Largest delta that is sent in a datagram; the others are fetched from a VM or the store.
 const MAX_DELTA_BYTES: usize = 1100;
 
-/// Maximum time to fetch a table from another VM.
+/// Maximum time to fetch a table from another VM while the store may be asked instead, and maximum time
+/// without a further part of the table.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Maximum time to fetch a table that no one else is known to have.
+const PATIENT_FETCH_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// How long to wait for a table of another VM.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(in crate::gateway) enum FetchPatience {
+    /// Up to [`FETCH_TIMEOUT`], since the store has the table, too.
+    Brief,
+    /// For as long as parts of the table arrive, since the store does not answer.
+    WhileArriving,
+}
+
+impl FetchPatience {
+    const fn timeout(self) -> Duration {
+        match self {
+            Self::Brief => FETCH_TIMEOUT,
+            Self::WhileArriving => PATIENT_FETCH_TIMEOUT,
+        }
+    }
+}
+
+/// Why a table is not sent to another VM.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(in crate::gateway) enum TableRefusal {
+    /// There is no such table, or no replica of it yet.
+    Unknown,
+    /// Too many tables are being sent.
+    Busy,
+}
+
 /// Largest table or delta that is read from another VM.
 const MAX_FEED_BYTES: usize = 8 << 20;
 
@@ -114,8 +146,9 @@
     from: IpAddr,
     feed: Feed,
     since: Option<StoreVersion>,
+    patience: FetchPatience,
 ) {
-    if let Some(delta) = fetch_delta(gateway, from, feed, since).await {
+    if let Some(delta) = fetch_delta(gateway, from, feed, since, patience).await {
         watch::apply_peer_delta(gateway, from, feed, &delta);
     }
 }
@@ -126,6 +159,7 @@
     from: IpAddr,
     feed: Feed,
     since: Option<StoreVersion>,
+    patience: FetchPatience,
 ) -> Option<FeedDelta> {
     let control_listen = gateway.settings.borrow().control_listen?;
     let address = SocketAddr::from((from, control_listen.port()));
@@ -138,7 +172,7 @@
         }) => format!("{FEED_PATH}/{number}/{since}"),
         Some(since) => format!("{FEED_PATH}/{number}/{since}"),
     };
-    match verbenahinge_http::timeout(FETCH_TIMEOUT, http_get(address, &path)).await {
+    match verbenahinge_http::timeout(patience.timeout(), http_get(address, &path)).await {
         Ok(Ok(bytes)) => match DeltaMessage::decode(bytes) {
             Ok(message) => return Some(message.into_delta()),
             Err(error) => {
@@ -153,19 +187,29 @@
 
 /// Encodes the changes of a table for another VM; the path is `/TABLE/ERA.VERSION`, or
 /// `/TABLE/VERSION` if the store names no era, and version 0 requests the whole table.
-pub(in crate::gateway) fn encode_feed(gateway: &Gateway, path: &str) -> Option<Bytes> {
+pub(in crate::gateway) fn encode_feed(
+    gateway: &Gateway,
+    path: &str,
+) -> Result<TableBody, TableRefusal> {
+    let (feed, base) = parse_feed_path(path).ok_or(TableRefusal::Unknown)?;
+    let delta = gateway
+        .replicas
+        .with(feed, |replica| replica.delta_since(base))
+        .ok_or(TableRefusal::Unknown)?;
+    let bytes = DeltaMessage::from_delta(delta).encode_to_vec();
+    let length = bytes.len();
+    let body = gateway.peers.table_transfers.begin(bytes.into());
+    let body = body.ok_or(TableRefusal::Busy)?;
+    gateway.metrics.count_sent(MessageKind::Table, 1, length);
+    Ok(body)
+}
+
+fn parse_feed_path(path: &str) -> Option<(Feed, Option<StoreVersion>)> {
     let (number, since) = path.strip_prefix('/')?.split_once('/')?;
     let feed = feed_from_number(number.parse().ok()?)?;
     let (era, since) = since.split_once('.').unwrap_or(("0", since));
     let since = StoreVersion::new(era.parse().ok()?, since.parse().ok()?);
-    let base = (since.number > 0).then_some(since);
-    let delta = gateway
-        .replicas
-        .with(feed, |replica| replica.delta_since(base))?;
-    let bytes = DeltaMessage::from_delta(delta).encode_to_vec();
-    let metrics = &gateway.metrics;
-    metrics.count_sent(MessageKind::Table, 1, bytes.len());
-    Some(bytes.into())
+    Some((feed, (since.number > 0).then_some(since)))
 }
 
 async fn http_get(address: SocketAddr, path: &str) -> io::Result<Bytes> {
@@ -182,14 +226,28 @@
         .header(hyper::header::HOST, address.to_string())
         .body(Full::new(Bytes::new()))
         .map_err(io::Error::other)?;
-    let response = sender
-        .send_request(request)
-        .await
-        .map_err(io::Error::other)?;
-    let body = Limited::new(response.into_body(), MAX_FEED_BYTES)
-        .collect()
-        .await
-        .map_err(io::Error::other)?;
+    let response = within(sender.send_request(request)).await?;
+    if response.status() != StatusCode::OK {
+        return Err(io::Error::other(format!("status {}", response.status())));
+    }
+    let mut body = Limited::new(response.into_body(), MAX_FEED_BYTES);
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = within(async { body.frame().await.transpose() }).await? {
+        if let Ok(data) = frame.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+    }
     driver.abort();
-    Ok(body.to_bytes())
+    Ok(bytes.freeze())
+}
+
+/// Waits for the next step of a fetch.
+async fn within<T, E>(step: impl Future<Output = Result<T, E>>) -> io::Result<T>
+where
+    E: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    match verbenahinge_http::timeout(FETCH_TIMEOUT, step).await {
+        Ok(result) => result.map_err(io::Error::other),
+        Err(error) => Err(io::Error::new(io::ErrorKind::TimedOut, error)),
+    }
 }
--- a/crates/verbenahinge/src/gateway/watch.rs
+++ b/crates/verbenahinge/src/gateway/watch.rs
@@ -26,6 +26,7 @@
 pub(super) use self::row_changes::apply_peer_delta;
 use self::row_changes::{apply_newer_config, apply_store_rows};
 use self::store_health::StoreHealth;
+use super::peers::FetchPatience;
 use super::{Gateway, crash_store, peers};
 
 /// Time between two checks whether this VM has to watch the store.
@@ -239,7 +240,7 @@
             continue;
         };
         let since = gateway.replicas.base_for_fetch(feed);
-        peers::fetch_feed(&gateway, source, feed, since).await;
+        peers::fetch_feed(&gateway, source, feed, since, FetchPatience::Brief).await;
         if gateway.replicas.newer_source(feed).is_none() {
             continue;
         }
@@ -253,7 +254,7 @@
                     table_name(feed)
                 );
                 // The other VM may lack removals after this VM's version, but has the whole table.
-                peers::fetch_feed(&gateway, source, feed, None).await;
+                peers::fetch_feed(&gateway, source, feed, None, FetchPatience::WhileArriving).await;
             }
         }
     }
@@ -273,7 +274,8 @@
         let Some(newer) = newer_config(&gateway) else {
             continue;
         };
-        let delta = peers::fetch_delta(&gateway, newer.source, Feed::Config, None).await;
+        let patience = FetchPatience::WhileArriving;
+        let delta = peers::fetch_delta(&gateway, newer.source, Feed::Config, None, patience).await;
         match delta {
             Some(delta) => apply_newer_config(&gateway, newer.source, &delta),
             None => log::debug!("failed to fetch the configuration of {}", newer.source),
--- a/crates/verbenahinge/tests/slow_links.rs
+++ b/crates/verbenahinge/tests/slow_links.rs
@@ -1,8 +1,11 @@
 //! Large tables reach VMs whose links are slow.
 
 use std::fmt::Write as _;
-use std::time::Duration;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
 use verbenahinge_testkit::{GatewayFleet, GatewayFleetOptions, GatewayRequest, LinkFault, Proxy};
 
 const BIN: &str = env!("CARGO_BIN_EXE_verbenahinge");
@@ -40,3 +43,41 @@
     assert_eq!(response.status, 200);
     assert!(!fleet.read_log(0).contains("name=platform_unavailable"));
 }
+
+/// Requests the whole table of the configuration on a connection that takes in a few kilobytes at most;
+/// returns the connection and the status of the response.
+async fn request_table(address: SocketAddr) -> (TcpStream, String) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket
+        .set_recv_buffer_size(4096)
+        .expect("a small receive buffer");
+    let mut stream = socket.connect(address).await.expect("a connection");
+    let request = b"GET /gateway/feeds/1/0 HTTP/1.1\r\nhost: vm\r\n\r\n";
+    stream.write_all(request).await.expect("a request");
+    let mut status = [0; 12];
+    stream.read_exact(&mut status).await.expect("a status");
+    (stream, String::from_utf8_lossy(&status).into_owned())
+}
+
+/// Guards against a link that is filled by tables for other VMs, so that answers wait behind them.
+#[actix_rt::test]
+async fn table_transfers_limited() {
+    let options = GatewayFleetOptions::new(config_with_routes(7, 16_000));
+    let fleet = GatewayFleet::start(BIN, options).await;
+    let address = fleet.control_address(0);
+    let mut connections = Vec::new();
+    let mut statuses = Vec::new();
+    for _ in 0..5 {
+        let (connection, status) = request_table(address).await;
+        connections.push(connection);
+        statuses.push(status);
+    }
+    let expected = ["200", "200", "503", "503", "503"].map(|code| format!("HTTP/1.1 {code}"));
+    assert_eq!(statuses, expected);
+    drop(connections);
+    let started = Instant::now();
+    while request_table(address).await.1 != expected[0] {
+        assert!(started.elapsed() < Duration::from_secs(20));
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+}
