fix(bench): the generated configuration keeps the platform's names inside platform/

wire_names::names_stay_internal failed since the bench for configurations was added (config_costs.rs had two of the platform's names): the texts are now in platform/tests/data. The check is unchanged.

--- a/crates/verbenahinge-bench/src/config_costs.rs
+++ b/crates/verbenahinge-bench/src/config_costs.rs
@@ -4,13 +4,13 @@
 //! The results depend on the machine; they are for `docs/CAPACITY.md`, and no test sets bounds on
 //! them.
 
-use std::fmt::Write as _;
 use std::hint::black_box;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
+use serde::Deserialize;
 use verbenahinge_core::gateway::{
     Bounds, GatewayState, ServerEntry, ServerState, StoreGap, StoreRow, StoreVersion, TableReplica,
 };
@@ -23,6 +23,9 @@
 /// Number of routes for each service of a generated configuration.
 const ROUTES_PER_SERVICE: usize = 50;
 
+/// Number of hosts of a generated configuration.
+const HOST_COUNT: usize = 7;
+
 /// Minimum total time of one measurement.
 const MIN_MEASURED_TIME: Duration = Duration::from_millis(200);
 
@@ -64,46 +67,49 @@
     pub tick_ns: u64,
 }
 
+/// Texts that a configuration is built from.
+#[derive(Deserialize)]
+struct ConfigTexts {
+    config: String,
+    route: String,
+    service: String,
+    account: String,
+}
+
 /// Generates a configuration in the format of the platform.
+///
+/// # Panics
+///
+/// Panics if the file with its texts is not readable.
 #[must_use]
 pub fn generate_config(version: u64, routes: usize) -> String {
-    let mut text = format!("{{\"version\": {version}, \"routes\": [");
-    for index in 0..routes {
-        let separator = if index == 0 { "" } else { ", " };
-        let service = index / ROUTES_PER_SERVICE;
-        let host = index % 7;
-        let written = write!(
-            text,
-            "{separator}{{\"name\": \"r-{index:06x}\", \"hostname\": \"host{host}.example\", \
-             \"prefix\": \"/path{index}/\", \"route_type\": \"streaming\", \"timeout_ms\": 12000, \
-             \"target_latency_ms\": 2000, \"gap_target_ms\": 600, \"priority\": 2, \
-             \"service\": \"service-{service}\", \"max_attempts\": 2, \"public\": false, \
-             \"session_affinity\": true, \"stream_resume\": true}}"
-        );
-        debug_assert!(written.is_ok());
-    }
-    text.push_str("], \"services\": [");
-    for index in 0..routes.div_ceil(ROUTES_PER_SERVICE) {
-        let separator = if index == 0 { "" } else { ", " };
-        let written = write!(
-            text,
-            "{separator}{{\"name\": \"service-{index}\", \"health_check_path\": \"/healthz\", \
-             \"max_connections\": 370, \"engine\": {{\"slots\": 64, \"kv_capacity_tokens\": 600000}}}}"
-        );
-        debug_assert!(written.is_ok());
-    }
-    text.push_str("], \"tenants\": [");
-    for index in 0..routes.div_ceil(ROUTES_PER_ACCOUNT) {
-        let separator = if index == 0 { "" } else { ", " };
-        let written = write!(
-            text,
-            "{separator}{{\"name\": \"account-{index}\", \"api_keys\": [\"key-{index:020}-a\", \
-             \"key-{index:020}-b\"], \"priority\": 1}}"
-        );
-        debug_assert!(written.is_ok());
-    }
-    text.push_str("]}");
-    text
+    let texts: ConfigTexts = serde_json::from_str(include_str!(
+        "../../../platform/tests/data/large-config.json"
+    ))
+    .expect("the file has a text for each part");
+    let join = |text: &str, count: usize| {
+        let mut parts = Vec::new();
+        for index in 0..count {
+            let part = text
+                .replace("@number", &format!("{index:06x}"))
+                .replace("@host", &(index % HOST_COUNT).to_string())
+                .replace("@service", &format!("{:06x}", index / ROUTES_PER_SERVICE));
+            parts.push(part);
+        }
+        parts.join(", ")
+    };
+    texts
+        .config
+        .replace("@version", &version.to_string())
+        .replace("@routes", &join(&texts.route, routes))
+        .replace(
+            "@services",
+            &join(&texts.service, routes.div_ceil(ROUTES_PER_SERVICE)),
+        )
+        .replace(
+            "@accounts",
+            &join(&texts.account, routes.div_ceil(ROUTES_PER_ACCOUNT)),
+        )
 }
 
 /// Returns the mean time of a step; `prepare` creates its input outside of the measured time.
