--- a/crates/verbenahinge-bench/src/gateway_costs.rs
+++ b/crates/verbenahinge-bench/src/gateway_costs.rs
@@ -31,6 +31,8 @@
     pub placed_ns: u64,
     /// Time if the candidates are the few backend servers that are queried for their load.
     pub asked_ns: u64,
+    /// Like `asked_ns`, if all backend servers have named a limit.
+    pub limited_ns: u64,
 }
 
 fn service_name(index: usize) -> String {
@@ -110,22 +112,44 @@
     }
 }
 
-fn time_requests(server_count: usize, is_load_queried: bool) -> u64 {
+/// Which servers are candidates for a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Candidates {
+    /// All servers of the service.
+    All,
+    /// Those that are queried for their load.
+    Queried,
+    /// Those that are queried for their load, where all servers have limits.
+    QueriedWithLimits,
+}
+
+fn limit_all_servers(state: &mut GatewayState, server_count: usize) {
+    state.set_uses_permits(true);
+    for index in 0..server_count {
+        let name = format!("server-{index:05}");
+        state.note_limit(Duration::ZERO, &name, Duration::ZERO, Some(1_000.0));
+    }
+}
+
+fn time_requests(server_count: usize, candidates: Candidates) -> u64 {
     let routes: Vec<Arc<Route>> = (0..SERVICE_COUNT)
         .map(|index| Arc::new(route(index)))
         .collect();
     let mut state = gateway_state(server_count);
+    if candidates == Candidates::QueriedWithLimits {
+        limit_all_servers(&mut state, server_count);
+    }
     let mut total_time = Duration::ZERO;
     for id in 0..REQUEST_COUNT {
         let now = REQUEST_INTERVAL * u32::try_from(id).unwrap_or(0);
         let call = call(id, &routes, now);
         let started = Instant::now();
         state.note_arrival(now, &call);
-        let choice = if is_load_queried {
+        let choice = if candidates == Candidates::All {
+            state.choose_server(now, &call, &[])
+        } else {
             let ranked = state.rank_engines(now, &call, &[], QUERIED_SERVERS);
             state.choose_among(now, &call, &ranked)
-        } else {
-            state.choose_server(now, &call, &[])
         };
         if let Ok(choice) = choice {
             state.note_sent(now, &call, &choice);
@@ -141,7 +165,8 @@
 #[must_use]
 pub fn measure_gateway(server_count: usize) -> GatewayCosts {
     GatewayCosts {
-        placed_ns: time_requests(server_count, false),
-        asked_ns: time_requests(server_count, true),
+        placed_ns: time_requests(server_count, Candidates::All),
+        asked_ns: time_requests(server_count, Candidates::Queried),
+        limited_ns: time_requests(server_count, Candidates::QueriedWithLimits),
     }
 }
--- a/crates/verbenahinge-bench/src/main.rs
+++ b/crates/verbenahinge-bench/src/main.rs
@@ -141,12 +141,12 @@
 
 /// Prints the time that the gateway takes to place a request.
 fn print_gateway_costs() {
-    println!("servers  placed_ns  asked_ns");
-    for servers in [50, 500, 3_000, 7_300] {
+    println!("servers  placed_ns  asked_ns  limited_ns");
+    for servers in [50, 145, 500, 3_000, 7_300] {
         let costs = measure_gateway(servers);
         println!(
-            "{servers:>7}  {:>9}  {:>8}",
-            costs.placed_ns, costs.asked_ns
+            "{servers:>7}  {:>9}  {:>8}  {:>10}",
+            costs.placed_ns, costs.asked_ns, costs.limited_ns
         );
     }
 }
