fix(gateway): an older version that is announced later does not replace a newer one to be fetched

What callers would see: beside configurations in quick succession, a VM that heard of version 11 and then, from a VM that is behind, of version 10 fetches 10, and 11 only after another round of digests and another fetch.

Cause: the last announcement was kept, whatever its version.

Change: AnnouncedVersion (core) keeps the newest version, and among VMs with the same version the last one, as before. If that could not be fetched, any other announcement replaces it, so that a VM that is gone does not hide those that are there.

Evidence: core/tests/announced_versions.rs. With the rule of the code before (always replace), older_announcements_ignored fails: 'left: (10.0.0.3, ... number: 10) right: (10.0.0.2, ... number: 11)'.

Ways weighed: choosing among all announcers of a version with equal probability.

--- a/crates/verbenahinge-core/src/gateway.rs
+++ b/crates/verbenahinge-core/src/gateway.rs
@@ -5,6 +5,7 @@
 //! forwarded unchanged. Like the rest of the core, these modules read no clock and open no socket.
 //! `docs/design/platform.md` shows how they work together.
 
+mod announced_version;
 mod backend;
 mod bounds;
 mod call;
@@ -27,6 +28,7 @@
 mod store_version;
 mod table_replica;
 
+pub use self::announced_version::AnnouncedVersion;
 pub use self::backend::{Backend, LoadReport, PeerLoad, PrefillLoad};
 pub use self::bounds::Bounds;
 pub use self::call::{Call, CallId};
--- a/crates/verbenahinge/src/gateway/watch.rs
+++ b/crates/verbenahinge/src/gateway/watch.rs
@@ -16,7 +16,7 @@
 use tokio::sync::Notify;
 use verbenahinge_core::ConfigVersion;
 use verbenahinge_core::gateway::{
-    Feed, StoreGap, StoreVersion, TableReplica, watch_timeout, watches_store,
+    AnnouncedVersion, Feed, StoreGap, StoreVersion, TableReplica, watch_timeout, watches_store,
 };
 use verbenahinge_core::hash::jitter;
 use verbenahinge_platform::store::{
@@ -61,13 +61,6 @@
 /// Pause after a lookup of other VMs in the store.
 const LOOKUP_PAUSE: Duration = Duration::from_secs(3);
 
-/// Table version of another VM that is newer than the replica.
-#[derive(Clone, Copy, Debug)]
-struct NewerVersion {
-    source: IpAddr,
-    version: StoreVersion,
-}
-
 /// Configuration of another VM that is newer than the one in force, by the operator's count.
 #[derive(Clone, Copy, Debug)]
 struct NewerConfig {
@@ -78,7 +71,7 @@
 /// Replicas of all tables.
 pub(crate) struct Replicas {
     by_feed: RefCell<BTreeMap<Feed, TableReplica>>,
-    newer_versions: RefCell<BTreeMap<Feed, NewerVersion>>,
+    newer_versions: RefCell<BTreeMap<Feed, AnnouncedVersion>>,
     newer_version_notify: Notify,
     unreadable_servers: RefCell<BTreeSet<String>>,
     /// Value of the configuration in force, as it was read.
@@ -114,7 +107,9 @@
     pub(crate) fn note_newer_version(&self, feed: Feed, source: IpAddr, version: StoreVersion) {
         self.newer_versions
             .borrow_mut()
-            .insert(feed, NewerVersion { source, version });
+            .entry(feed)
+            .and_modify(|newer| newer.announce(source, version))
+            .or_insert_with(|| AnnouncedVersion::new(source, version));
         self.newer_version_notify.notify_waiters();
     }
 
@@ -131,16 +126,24 @@
     fn base_for_fetch(&self, feed: Feed) -> Option<StoreVersion> {
         let newer = self.newer_versions.borrow().get(&feed).copied();
         self.with(feed, |replica| {
-            let has_later_era = newer.is_some_and(|newer| replica.is_of_earlier_era(newer.version));
+            let has_later_era =
+                newer.is_some_and(|newer| replica.is_of_earlier_era(newer.version()));
             replica.applied_until().filter(|_| !has_later_era)
         })
     }
 
+    /// Records that a newer version could not be fetched from the VM that announced it.
+    fn record_failed_fetch(&self, feed: Feed) {
+        if let Some(newer) = self.newer_versions.borrow_mut().get_mut(&feed) {
+            newer.record_failure();
+        }
+    }
+
     /// Returns a VM whose replica is newer, and forgets a recorded version that has been applied.
     fn newer_source(&self, feed: Feed) -> Option<IpAddr> {
         let newer = self.newer_versions.borrow().get(&feed).copied()?;
-        if self.with(feed, |replica| replica.is_behind(newer.version)) {
-            return Some(newer.source);
+        if self.with(feed, |replica| replica.is_behind(newer.version())) {
+            return Some(newer.source());
         }
         self.newer_versions.borrow_mut().remove(&feed);
         None
@@ -249,6 +252,7 @@
         if gateway.replicas.newer_source(feed).is_none() {
             continue;
         }
+        gateway.replicas.record_failed_fetch(feed);
         match read_store(&gateway, &mut store, feed, Duration::ZERO, false).await {
             Ok((rows, is_snapshot)) => {
                 apply_store_rows(&gateway, feed, rows, is_snapshot, StoreGap::None).await;
