fix(gateway): what a link has not taken yet of an abandoned request is dropped

Cause: when a caller leaves or a deadline passes, the VM closes the connection to the server. The kernel goes on to send what waits in the socket, so that on a full link, or for a server that reads slowly, a whole request arrives seconds after it was given up. Class: closing a connection is taken for ending what was sent on it.

Ruled out: a late check by the VM; there is one between the last wait and the send.

Change: connections to servers have a linger time of zero, so closing them drops unsent bytes and sends a reset. Connections are closed when a request is given up, expired or ended with 'Connection: close', and no answer of the server is lost by it, since nothing of it is waited for.

Evidence: abandoned_requests::unsent_bytes_dropped, a server that takes in 4 KB at a time. Before: '30133 more bytes arrived' after outcome=caller_gone; after: a reset, three runs of three pass. The soak and the tests of streams, responses, shutdown, crashes, registry and limits pass.

--- a/crates/verbenahinge/src/gateway/connection_pool.rs
+++ b/crates/verbenahinge/src/gateway/connection_pool.rs
@@ -88,6 +88,8 @@
         address: SocketAddr,
     ) -> io::Result<PooledConnection> {
         let stream = verbenahinge_http::connect(address, CONNECT_TIMEOUT).await?;
+        // Closing the connection drops what the link has not taken yet: nobody waits for it any more.
+        stream.set_zero_linger()?;
         let (sender, connection) = http1::Builder::new()
             .handshake(TokioIo::new(stream))
             .await
