perf(core): a request no longer visits all limited servers where permits are used

Cause: in a fleet with permits each decision opened all limited servers again, since the last request may have closed one of them, and counted those of its service among all.

Change: the server that a request is sent to is opened again, and all of them once when permits begin to be used. Whether all ready servers of a service are limited is looked up in their order, up to the first that is not; servers that are limited but not ready no longer count, as the comment said.

Evidence: core/tests/limit_permits.rs guards that a server stays open with permits; it passes before, too. The tests of limits in core (limit_sharing) and with processes (server_limits) pass.

--- a/crates/verbenahinge-core/src/gateway/state.rs
+++ b/crates/verbenahinge-core/src/gateway/state.rs
@@ -355,6 +355,7 @@
         if let Some(backend) = self.backends.get_mut(&choice.server) {
             backend.note_sent(now, call, choice.prefill_cost, choice.interactive);
         }
+        self.reopen_limited(&choice.server);
         self.note_limited(now, call, false);
     }
 
--- a/crates/verbenahinge-core/src/gateway/state/limits.rs
+++ b/crates/verbenahinge-core/src/gateway/state/limits.rs
@@ -163,7 +163,26 @@
     /// Sets whether one VM hands out permits for each limited server, as in a fleet in which most VMs
     /// send too few requests to use a share.
     pub fn set_uses_permits(&mut self, uses_permits: bool) {
+        let is_new = uses_permits && !self.uses_permits;
         self.uses_permits = uses_permits;
+        if !is_new {
+            return;
+        }
+        for server in &self.limited_servers {
+            if let Some(backend) = self.backends.get_mut(server) {
+                backend.limiter.open();
+            }
+        }
+    }
+
+    /// Keeps a server in use that a request is sent to: where permits are used, they alone decide.
+    pub(super) fn reopen_limited(&mut self, server: &str) {
+        if !self.uses_permits {
+            return;
+        }
+        if let Some(backend) = self.backends.get_mut(server) {
+            backend.limiter.open();
+        }
     }
 
     /// Whether a request to a server needs a permit.
@@ -249,15 +268,7 @@
 
     /// Updates what the limited servers of a call's service may get from this VM.
     pub(super) fn refresh_limits(&mut self, now: Timestamp, call: &Call) {
-        if self.limited_servers.is_empty() {
-            return;
-        }
-        if self.uses_permits {
-            for server in &self.limited_servers {
-                if let Some(backend) = self.backends.get_mut(server) {
-                    backend.limiter.open();
-                }
-            }
+        if self.limited_servers.is_empty() || self.uses_permits {
             return;
         }
         let mut shares = Vec::new();
@@ -373,12 +384,9 @@
         let Some(order) = self.registry.order(&call.service) else {
             return false;
         };
-        let mut limited = 0;
-        for server in &self.limited_servers {
-            let entry = self.registry.get(server);
-            limited += usize::from(entry.is_some_and(|entry| entry.service == call.service));
-        }
-        limited >= order.len()
+        order
+            .names()
+            .all(|server| self.limited_servers.contains(server))
     }
 }
 
