--- a/crates/verbenahinge-core/src/gateway/state.rs
+++ b/crates/verbenahinge-core/src/gateway/state.rs
@@ -1,9 +1,11 @@
 //! State of one gateway VM and the routing decisions based on it.
 
+mod config;
 mod crashes;
 mod demand;
 mod limits;
 mod peer_digest;
+mod permits;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -11,8 +13,9 @@
 
 use self::demand::PromptArrival;
 pub use self::limits::LimitReport;
-use self::limits::{LimitedPriority, PeerDemands, PermitBucket};
+use self::limits::{LimitedPriority, PeerDemands};
 pub use self::peer_digest::{PeerDigest, ServerDigest};
+use self::permits::PermitBucket;
 use super::placement::Candidate;
 use super::{
     Backend, Bounds, Call, CallId, CrashGuard, LoadReport, PlacementContext, PlacementError,
@@ -20,7 +23,7 @@
     ServerState, ServiceName,
 };
 use crate::hash::hash64;
-use crate::{ConfigVersion, FailureKind, ServerName, Timestamp, VmId, ZoneName};
+use crate::{FailureKind, ServerName, Timestamp, VmId, ZoneName};
 
 /// Delay after which a less urgent request may use what the servers' limits leave.
 const LIMIT_YIELD_DELAY: Duration = Duration::from_secs(1);
@@ -94,40 +97,6 @@
         }
     }
 
-    /// Configuration in force, or `None` before the first one.
-    #[must_use]
-    pub const fn routing(&self) -> Option<&Arc<Routing>> {
-        self.routing.as_ref()
-    }
-
-    /// Version of the configuration in force, or 0 before the first one.
-    #[must_use]
-    pub fn config_version(&self) -> ConfigVersion {
-        self.routing.as_ref().map_or(0, |routing| routing.version)
-    }
-
-    /// Brings a configuration into force if it is newer than the current one, and returns whether
-    /// it is.
-    pub fn adopt_routing(&mut self, routing: Routing) -> bool {
-        self.replace_routing(Arc::new(routing)).is_ok()
-    }
-
-    /// Brings a configuration into force if it is newer than the current one, and returns the one
-    /// that was in force before.
-    ///
-    /// # Errors
-    ///
-    /// Returns the given configuration if it is not newer.
-    pub fn replace_routing(
-        &mut self,
-        routing: Arc<Routing>,
-    ) -> Result<Option<Arc<Routing>>, Arc<Routing>> {
-        if self.routing.is_some() && routing.version <= self.config_version() {
-            return Err(routing);
-        }
-        Ok(self.routing.replace(routing))
-    }
-
     /// Whether requests can be served: there is a configuration and the registry is complete.
     #[must_use]
     pub const fn is_serving(&self) -> bool {
