feat(gateway): event 604 when a table cannot be fetched from another VM

The event names the table, the VM, the cause (503: that VM sends two large tables already) and the time.

gateway_config::outdated_vms_refuse_unknown waits for it.

--- a/crates/verbenahinge/src/event_log.rs
+++ b/crates/verbenahinge/src/event_log.rs
@@ -83,6 +83,8 @@
     PeerRejected = 602,
     /// A datagram from a peer could not be decoded.
     DigestUnreadable = 603,
+    /// A table could not be fetched from another VM.
+    TableFetchFailed = 604,
 }
 
 impl LogEvent {
--- a/crates/verbenahinge/src/gateway/peers/feeds.rs
+++ b/crates/verbenahinge/src/gateway/peers/feeds.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
@@ -179,16 +179,25 @@
         }) => format!("{FEED_PATH}/{number}/{since}"),
         Some(since) => format!("{FEED_PATH}/{number}/{since}"),
     };
-    match verbenahinge_http::timeout(patience.timeout(), http_get(address, &path)).await {
+    let started = Instant::now();
+    let fetch = verbenahinge_http::timeout(patience.timeout(), http_get(address, &path));
+    let cause = match fetch.await {
         Ok(Ok(bytes)) => match DeltaMessage::decode(bytes) {
             Ok(message) => return Some(message.into_delta()),
             Err(error) => {
                 LogEvent::DigestUnreadable.log(&[("address", &address), ("cause", &error)]);
+                return None;
             }
         },
-        Ok(Err(error)) => log::debug!("failed to fetch table {number} from {address}: {error}"),
-        Err(_) => log::debug!("timed out fetching table {number} from {address}"),
-    }
+        Ok(Err(error)) => error.to_string(),
+        Err(error) => error.to_string(),
+    };
+    LogEvent::TableFetchFailed.log(&[
+        ("table", &number),
+        ("address", &address),
+        ("cause", &cause),
+        ("after_ms", &started.elapsed().as_millis()),
+    ]);
     None
 }
 
--- a/crates/verbenahinge/tests/gateway_config.rs
+++ b/crates/verbenahinge/tests/gateway_config.rs
@@ -160,6 +160,9 @@
         assert_eq!(response.status, 503, "{request:?}");
         assert!(response.retry_after_s().is_some(), "{request:?}");
     }
+    fleet
+        .wait_for_log(0, "name=table_fetch_failed table=1 address=127.0.0.1:")
+        .await;
     let known = fleet.call(0, &second_account("r3")).await;
     assert_eq!(known.status, 200);
 }
