--- a/crates/verbenahinge-core/src/gateway.rs
+++ b/crates/verbenahinge-core/src/gateway.rs
@@ -5,6 +5,7 @@
 //! forwarded unchanged. Like the rest of the core, these modules read no clock and open no socket.
 //! `docs/design/platform.md` shows how they work together.
 
+mod announced_version;
 mod backend;
 mod bounds;
 mod call;
@@ -14,6 +15,7 @@
 mod crash_record;
 mod crash_refusal;
 mod feed;
+mod hold_monitor;
 mod members;
 mod number;
 mod part_cache;
@@ -31,6 +33,7 @@
 mod suspect_scope;
 mod table_replica;
 
+pub use self::announced_version::AnnouncedVersion;
 pub use self::backend::{Backend, LoadReport, PeerLoad, PrefillLoad};
 pub use self::bounds::Bounds;
 pub use self::call::{Call, CallId};
@@ -40,6 +43,7 @@
 pub use self::feed::{
     Feed, FeedDelta, RowChange, RowState, StoreRow, watch_timeout, watches_store,
 };
+pub use self::hold_monitor::{HoldMonitor, MIN_HOLD};
 pub use self::members::{DIGEST_INTERVAL, GossipRound, Members, address_number};
 pub use self::part_cache::{PartCache, PartState};
 pub use self::placement::{PlacementContext, PlacementError, ServerChoice};
--- a/crates/verbenahinge-core/src/gateway/state.rs
+++ b/crates/verbenahinge-core/src/gateway/state.rs
@@ -1,9 +1,11 @@
 //! State of one gateway VM and the routing decisions based on it.
 
+mod config;
 mod crashes;
 mod demand;
 mod limits;
 mod peer_digest;
+mod permits;
 mod retries;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -12,8 +14,9 @@
 
 use self::demand::PromptArrival;
 pub use self::limits::LimitReport;
-use self::limits::{LimitedPriority, PeerDemands, PermitBucket};
+use self::limits::{LimitedPriority, PeerDemands};
 pub use self::peer_digest::{PeerDigest, ServerDigest};
+use self::permits::PermitBucket;
 use super::placement::Candidate;
 use super::{
     Backend, Bounds, Call, CallId, CrashGuard, LoadReport, PlacementContext, PlacementError,
@@ -21,7 +24,7 @@
     ServerState, ServiceName,
 };
 use crate::hash::hash64;
-use crate::{ConfigVersion, FailureKind, ServerName, Timestamp, VmId, ZoneName};
+use crate::{FailureKind, ServerName, Timestamp, VmId, ZoneName};
 
 /// Delay after which a less urgent request may use what the servers' limits leave.
 const LIMIT_YIELD_DELAY: Duration = Duration::from_secs(1);
@@ -95,28 +98,6 @@
         }
     }
 
-    /// Configuration in force, or `None` before the first one.
-    #[must_use]
-    pub const fn routing(&self) -> Option<&Arc<Routing>> {
-        self.routing.as_ref()
-    }
-
-    /// Version of the configuration in force, or 0 before the first one.
-    #[must_use]
-    pub fn config_version(&self) -> ConfigVersion {
-        self.routing.as_ref().map_or(0, |routing| routing.version)
-    }
-
-    /// Brings a configuration into force if it is newer than the current one, and returns whether
-    /// it is.
-    pub fn adopt_routing(&mut self, routing: Routing) -> bool {
-        if self.routing.is_some() && routing.version <= self.config_version() {
-            return false;
-        }
-        self.routing = Some(Arc::new(routing));
-        true
-    }
-
     /// Whether requests can be served: there is a configuration and the registry is complete.
     #[must_use]
     pub const fn is_serving(&self) -> bool {
@@ -334,6 +315,7 @@
         if let Some(backend) = self.backends.get_mut(&choice.server) {
             backend.note_sent(now, call, choice.prefill_cost, choice.interactive);
         }
+        self.reopen_limited(&choice.server);
         self.note_limited(now, call, false);
     }
 
--- a/crates/verbenahinge/src/gateway.rs
+++ b/crates/verbenahinge/src/gateway.rs
@@ -19,12 +19,15 @@
 mod metrics;
 mod peer_message;
 mod peers;
+mod read_first_timer;
 mod relay;
 mod request_handler;
 mod response;
 mod response_memory;
 mod server_stream;
 mod shutdown;
+mod table_body;
+mod thread_holds;
 mod watch;
 
 use std::cell::{Cell, RefCell};
@@ -48,6 +51,7 @@
 use self::metrics::GatewayMetrics;
 use self::peers::Peers;
 use self::response_memory::ResponseMemory;
+use self::thread_holds::ThreadHolds;
 use self::watch::Replicas;
 use crate::clock::Clock;
 use crate::event_log::LogEvent;
@@ -73,6 +77,7 @@
     pub(crate) crash_checks: CrashChecks,
     pub(crate) crash_store: CrashStore,
     pub(crate) response_memory: ResponseMemory,
+    pub(crate) thread_holds: ThreadHolds,
     pub(crate) is_draining: Cell<bool>,
     pub(crate) requests_in_flight: Cell<usize>,
     /// Whether new requests are refused, because the process may exit before they complete.
@@ -154,6 +159,7 @@
         crash_checks: CrashChecks::default(),
         crash_store: CrashStore::new(),
         response_memory,
+        thread_holds: ThreadHolds::default(),
         is_draining: Cell::new(false),
         requests_in_flight: Cell::new(0),
         is_closing: Cell::new(false),
@@ -211,7 +217,10 @@
     T: Future<Output = ()> + 'static,
 {
     let gateway = Rc::clone(gateway);
-    supervise(name, move || task(Rc::clone(&gateway)));
+    supervise(name, move || {
+        let task = task(Rc::clone(&gateway));
+        thread_holds::measure_polls(Rc::clone(&gateway), name, task)
+    });
 }
 
 /// Periodically drops expired state and connections.
--- a/crates/verbenahinge/src/gateway/attempt_race.rs
+++ b/crates/verbenahinge/src/gateway/attempt_race.rs
@@ -144,7 +144,7 @@
         loop {
             let time_left = self.time_until_silent(gateway);
             let ended = poll_fn(|context| self.poll_ended(context));
-            if let Ok(ended) = actix_rt::time::timeout(time_left, ended).await {
+            if let Ok(ended) = verbenahinge_http::timeout(time_left, ended).await {
                 return RaceEvent::Ended(ended);
             }
             if !self.time_until_silent(gateway).is_zero() {
--- a/crates/verbenahinge/src/gateway/connection_pool.rs
+++ b/crates/verbenahinge/src/gateway/connection_pool.rs
@@ -88,6 +88,8 @@
         address: SocketAddr,
     ) -> io::Result<PooledConnection> {
         let stream = verbenahinge_http::connect(address, CONNECT_TIMEOUT).await?;
+        // Closing the connection drops what the link has not taken yet: nobody waits for it any more.
+        stream.set_zero_linger()?;
         let (sender, connection) = http1::Builder::new()
             .handshake(TokioIo::new(stream))
             .await
@@ -153,7 +155,7 @@
         let Some(sender) = &mut self.sender else {
             return false;
         };
-        let ready = actix_rt::time::timeout(READY_TIMEOUT, sender.ready()).await;
+        let ready = verbenahinge_http::timeout(READY_TIMEOUT, sender.ready()).await;
         matches!(ready, Ok(Ok(())))
     }
 
--- a/crates/verbenahinge/src/gateway/crash_check.rs
+++ b/crates/verbenahinge/src/gateway/crash_check.rs
@@ -67,7 +67,10 @@
             }
         };
         // A check that takes longer finds a server that is cut off, not one that crashed.
-        drop(actix_rt::time::timeout(MAX_CHECK_WAIT, ended).await);
+        let ended = verbenahinge_http::timeout(MAX_CHECK_WAIT, ended).await;
+        if ended.is_err() {
+            log::debug!("a crash check takes longer than {MAX_CHECK_WAIT:?}");
+        }
     }
 
     fn end(&self) {
--- a/crates/verbenahinge/src/gateway/frontend.rs
+++ b/crates/verbenahinge/src/gateway/frontend.rs
@@ -27,16 +27,19 @@
 use super::connection_activity::ConnectionActivity;
 use super::request_handler::{RequestGuard, RequestHandler};
 use super::response::{CallerResponse, ServedBody, announce_connection_close, error_response};
-use super::{Gateway, crash_check};
+use super::{Gateway, crash_check, watch};
 use crate::event_log::LogEvent;
 
 /// Minimum size of the buffer for a request head, so that open connections take heads that a later
 /// configuration allows.
 const MIN_BUFFER_BYTES: usize = 64 << 10;
 
-/// Delay used to compute `Retry-After` while the VM knows no configuration yet.
+/// Delay used to compute `Retry-After` while the VM does not know the newest configuration.
 const STARTING_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Passes of the event loop in which a connection notices that its caller has left.
+const LEAVE_PASSES: usize = 2;
+
 /// Delay before the next accept after a failed one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -120,6 +123,7 @@
 /// Why a request is rejected before it is handled.
 enum RejectReason {
     Starting,
+    Outdated,
     Closing,
     Ending,
     UnknownRoute,
@@ -128,15 +132,18 @@
     TooLarge,
     UnreadableBody,
     SlowBody,
+    TooLate,
     Quarantined(CrashRefusal),
 }
 
 impl RejectReason {
     const fn status(&self) -> StatusCode {
         match self {
-            Self::Starting | Self::Closing | Self::Quarantined(_) => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::Starting
+            | Self::Outdated
+            | Self::Closing
+            | Self::TooLate
+            | Self::Quarantined(_) => StatusCode::SERVICE_UNAVAILABLE,
             // A server may have run the request.
             Self::Ending => StatusCode::BAD_GATEWAY,
             Self::UnknownRoute => StatusCode::NOT_FOUND,
@@ -151,6 +158,7 @@
     const fn message(&self) -> &'static str {
         match self {
             Self::Starting => "this VM does not know its configuration yet",
+            Self::Outdated => "this VM does not have the newest configuration yet",
             Self::Closing => "this VM is about to end",
             Self::Ending => "this VM ends before a server has answered",
             Self::UnknownRoute => "no route for this host and path",
@@ -159,6 +167,7 @@
             Self::TooLarge => "the body is larger than the limit",
             Self::UnreadableBody => "the body could not be read",
             Self::SlowBody => "the body did not arrive in time",
+            Self::TooLate => "the time of the request was up before it was read",
             Self::Quarantined(refusal) => crash_check::refusal_message(refusal),
         }
     }
@@ -169,7 +178,8 @@
     request: Request<Incoming>,
     guard: RequestGuard,
 ) -> CallerResponse {
-    let arrived = gateway.now();
+    let read_at = gateway.now();
+    let arrived = gateway.thread_holds.arrival_time(read_at);
     let (parts, body) = request.into_parts();
     let caller = http_headers::decode_caller_request(&parts.headers);
     let routing = gateway.state.borrow().routing().cloned();
@@ -185,17 +195,17 @@
     let route_timeout = matched
         .as_ref()
         .map_or(limits.head_timeout, |matched| matched.route.timeout);
-    let timeout = caller
-        .max_wait
-        .map_or(route_timeout, |max_wait| max_wait.min(route_timeout));
+    let timeout = caller.max_wait.unwrap_or(Duration::MAX).min(route_timeout);
+    drop(routing);
     // The body is read even if the request is rejected, so that the caller can read the response.
     let body = Limited::new(body, limits.max_body_bytes).collect();
-    let body = match actix_rt::time::timeout(timeout, body).await {
+    let body = match verbenahinge_http::timeout(timeout, body).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RejectReason::TooLarge),
         Ok(Err(_)) => Err(RejectReason::UnreadableBody),
         Err(_) => Err(RejectReason::SlowBody),
     };
+    let matched = matched.or_else(|reason| match_newest(gateway, &parts, &caller, reason));
     let (matched, body) = match (matched, body) {
         (Ok(matched), Ok(body)) => (matched, body),
         (Err(reason), _) | (_, Err(reason)) => return reject(gateway, &caller, &reason),
@@ -203,6 +213,19 @@
     if gateway.is_closing.get() {
         return reject(gateway, &caller, &RejectReason::Closing);
     }
+    let timeout = caller.max_wait.unwrap_or(Duration::MAX);
+    let timeout = timeout.min(matched.route.timeout);
+    if arrived < read_at {
+        // The connection notices meanwhile whether its caller left during the hold, and drops this
+        // future.
+        for _ in 0..LEAVE_PASSES {
+            tokio::task::yield_now().await;
+        }
+    }
+    let deadline = arrived + timeout;
+    if deadline <= gateway.now() {
+        return reject(gateway, &caller, &RejectReason::TooLate);
+    }
     let call_id = gateway.new_call_id();
     let seed = hash64(caller.request_id.as_deref().unwrap_or("").as_bytes());
     let Some(service) = matched.route.pick_service(seed).cloned() else {
@@ -217,7 +240,7 @@
         route: matched.route,
         arrived,
         waiting_since: arrived,
-        deadline: arrived + timeout,
+        deadline,
     };
     let refusal = {
         let now = gateway.now();
@@ -297,6 +320,29 @@
     })
 }
 
+/// Finds the route and account of a request that did not match when its head was read.
+///
+/// Callers do not repeat a request after a 404 or 401, so neither is given for a configuration that this
+/// VM knows to be outdated.
+fn match_newest(
+    gateway: &Gateway,
+    parts: &Parts,
+    caller: &CallerHeaders,
+    reason: RejectReason,
+) -> Result<RouteMatch, RejectReason> {
+    if matches!(reason, RejectReason::HeadTooLarge) {
+        return Err(reason);
+    }
+    let routing = gateway.state.borrow().routing().cloned();
+    let Some(routing) = routing else {
+        return Err(reason);
+    };
+    match match_route(&routing, &parts.uri, &parts.headers, caller) {
+        Err(_) if watch::is_config_outdated(gateway) => Err(RejectReason::Outdated),
+        result => result,
+    }
+}
+
 /// Returns a hash of the path, the client account and the body of a request.
 fn fingerprint(uri: &Uri, matched: &RouteMatch, body: &Bytes) -> u64 {
     let account = matched
@@ -319,12 +365,12 @@
     ]);
     gateway.metrics.count_rejected(status.as_u16());
     let delay = match reason {
-        RejectReason::Starting => {
+        RejectReason::Starting | RejectReason::Outdated => {
             let time_left = caller.max_wait.unwrap_or(STARTING_RETRY_DELAY);
             let seed = hash64(id.unwrap_or("").as_bytes());
             Some(retry_after(STARTING_RETRY_DELAY, time_left, seed))
         }
-        RejectReason::Closing => Some(RETRY_AFTER_MIN),
+        RejectReason::Closing | RejectReason::TooLate => Some(RETRY_AFTER_MIN),
         RejectReason::Quarantined(refusal) => Some(refusal.time_left),
         _ => None,
     };
--- a/crates/verbenahinge/src/gateway/peers.rs
+++ b/crates/verbenahinge/src/gateway/peers.rs
@@ -22,14 +22,17 @@
 
 use self::crashes::CrashPushes;
 pub(super) use self::crashes::{push_cleared, push_crashes};
-pub(super) use self::feeds::{encode_feed, fetch_delta, fetch_feed, push_change};
+pub(super) use self::feeds::{
+    FetchPatience, TableRefusal, encode_feed, fetch_delta, fetch_feed, push_change,
+};
 use self::feeds::{feed_versions, handle_feed};
 use self::load::{PendingQuery, handle_query_or_reply, send_to_aggregators};
 pub(super) use self::load::{query_load, send_load};
 use self::permits::handle_permit;
 pub(super) use self::permits::{push_limit, request_permit};
 use super::peer_message::{LimitMessage, MessageKind, PeerMessage, pack_ip, unpack_ip};
-use super::{Gateway, crash_store, watch};
+use super::table_body::TableTransfers;
+use super::{Gateway, crash_store, thread_holds, watch};
 use crate::event_log::LogEvent;
 
 /// Size of the receive buffer; the rest of a longer datagram is lost.
@@ -53,6 +56,7 @@
     pending_queries: RefCell<BTreeMap<u64, PendingQuery>>,
     pending_permits: RefCell<BTreeMap<u64, oneshot::Sender<bool>>>,
     slow_until: RefCell<BTreeMap<IpAddr, Timestamp>>,
+    table_transfers: TableTransfers,
 }
 
 impl Peers {
@@ -72,6 +76,7 @@
             pending_queries: RefCell::default(),
             pending_permits: RefCell::default(),
             slow_until: RefCell::default(),
+            table_transfers: TableTransfers::default(),
         };
         for seed in &settings.seeds {
             peers.add(now, seed.ip());
@@ -150,7 +155,7 @@
 pub(super) async fn send_digests(gateway: Rc<Gateway>) {
     let mut last_sent: BTreeMap<u64, ServerDigest> = BTreeMap::new();
     loop {
-        actix_rt::time::sleep(DIGEST_INTERVAL).await;
+        thread_holds::measured_sleep(&gateway, DIGEST_INTERVAL).await;
         let now = gateway.now();
         let mut digest = gateway.state.borrow().full_digest(now);
         let mut changed = digest.servers.clone();
--- a/crates/verbenahinge/src/gateway/server_stream.rs
+++ b/crates/verbenahinge/src/gateway/server_stream.rs
@@ -111,7 +111,7 @@
                 return Err(AttemptError::Failed(FailureKind::Silent));
             }
             let frame = self.response.body.frame();
-            match actix_rt::time::timeout(until_deadline.min(until_silent), frame).await {
+            match verbenahinge_http::timeout(until_deadline.min(until_silent), frame).await {
                 Ok(Some(Ok(frame))) => {
                     self.note_progress();
                     if let Ok(data) = frame.into_data() {
--- a/crates/verbenahinge/src/gateway/watch.rs
+++ b/crates/verbenahinge/src/gateway/watch.rs
@@ -1,10 +1,11 @@
 //! Replicas of the store's tables, kept up to date by watching the store or by other VMs.
 
+mod config_changes;
 mod response_log;
 mod row_changes;
 mod store_health;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
 use std::rc::Rc;
@@ -15,17 +16,19 @@
 use tokio::sync::Notify;
 use verbenahinge_core::ConfigVersion;
 use verbenahinge_core::gateway::{
-    Feed, StoreGap, StoreVersion, TableReplica, watch_timeout, watches_store,
+    AnnouncedVersion, Feed, StoreGap, StoreVersion, TableReplica, watch_timeout, watches_store,
 };
 use verbenahinge_core::hash::jitter;
 use verbenahinge_platform::store::{
     OPERATOR_TABLE, Rows, SERVER_TABLE, StoreClient, StoreError, VM_TABLE,
 };
 
+use self::config_changes::apply_newer_config;
 use self::response_log::ResponseLog;
 pub(super) use self::row_changes::apply_peer_delta;
-use self::row_changes::{apply_newer_config, apply_store_rows};
+use self::row_changes::apply_store_rows;
 use self::store_health::StoreHealth;
+use super::peers::FetchPatience;
 use super::{Gateway, crash_store, peers};
 
 /// Time between two checks whether this VM has to watch the store.
@@ -58,13 +61,6 @@
 /// Pause after a lookup of other VMs in the store.
 const LOOKUP_PAUSE: Duration = Duration::from_secs(3);
 
-/// Table version of another VM that is newer than the replica.
-#[derive(Clone, Copy, Debug)]
-struct NewerVersion {
-    source: IpAddr,
-    version: StoreVersion,
-}
-
 /// Configuration of another VM that is newer than the one in force, by the operator's count.
 #[derive(Clone, Copy, Debug)]
 struct NewerConfig {
@@ -75,11 +71,13 @@
 /// Replicas of all tables.
 pub(crate) struct Replicas {
     by_feed: RefCell<BTreeMap<Feed, TableReplica>>,
-    newer_versions: RefCell<BTreeMap<Feed, NewerVersion>>,
+    newer_versions: RefCell<BTreeMap<Feed, AnnouncedVersion>>,
     newer_version_notify: Notify,
     unreadable_servers: RefCell<BTreeSet<String>>,
     /// Value of the configuration in force, as it was read.
     config_in_force: RefCell<Option<Arc<[u8]>>>,
+    /// Number of large configurations that are being decoded.
+    decoding: Cell<usize>,
     newer_config: RefCell<Option<NewerConfig>>,
     newer_config_notify: Notify,
 }
@@ -93,6 +91,7 @@
             newer_version_notify: Notify::new(),
             unreadable_servers: RefCell::default(),
             config_in_force: RefCell::default(),
+            decoding: Cell::new(0),
             newer_config: RefCell::default(),
             newer_config_notify: Notify::new(),
         }
@@ -108,7 +107,9 @@
     pub(crate) fn note_newer_version(&self, feed: Feed, source: IpAddr, version: StoreVersion) {
         self.newer_versions
             .borrow_mut()
-            .insert(feed, NewerVersion { source, version });
+            .entry(feed)
+            .and_modify(|newer| newer.announce(source, version))
+            .or_insert_with(|| AnnouncedVersion::new(source, version));
         self.newer_version_notify.notify_waiters();
     }
 
@@ -125,16 +126,24 @@
     fn base_for_fetch(&self, feed: Feed) -> Option<StoreVersion> {
         let newer = self.newer_versions.borrow().get(&feed).copied();
         self.with(feed, |replica| {
-            let has_later_era = newer.is_some_and(|newer| replica.is_of_earlier_era(newer.version));
+            let has_later_era =
+                newer.is_some_and(|newer| replica.is_of_earlier_era(newer.version()));
             replica.applied_until().filter(|_| !has_later_era)
         })
     }
 
+    /// Records that a newer version could not be fetched from the VM that announced it.
+    fn record_failed_fetch(&self, feed: Feed) {
+        if let Some(newer) = self.newer_versions.borrow_mut().get_mut(&feed) {
+            newer.record_failure();
+        }
+    }
+
     /// Returns a VM whose replica is newer, and forgets a recorded version that has been applied.
     fn newer_source(&self, feed: Feed) -> Option<IpAddr> {
         let newer = self.newer_versions.borrow().get(&feed).copied()?;
-        if self.with(feed, |replica| replica.is_behind(newer.version)) {
-            return Some(newer.source);
+        if self.with(feed, |replica| replica.is_behind(newer.version())) {
+            return Some(newer.source());
         }
         self.newer_versions.borrow_mut().remove(&feed);
         None
@@ -174,7 +183,7 @@
                 let gap = health.record_success(now, age, heartbeat);
                 needs_snapshot = false;
                 let is_ignored = response_log.record_rows(&gateway, feed, &rows);
-                apply_store_rows(&gateway, feed, rows, is_snapshot, gap);
+                apply_store_rows(&gateway, feed, rows, is_snapshot, gap).await;
                 renew_rows(&gateway);
                 if is_ignored {
                     actix_rt::time::sleep(IGNORED_RESPONSE_PAUSE).await;
@@ -240,14 +249,15 @@
             continue;
         };
         let since = gateway.replicas.base_for_fetch(feed);
-        peers::fetch_feed(&gateway, source, feed, since).await;
+        peers::fetch_feed(&gateway, source, feed, since, FetchPatience::Brief).await;
         if gateway.replicas.newer_source(feed).is_none() {
             continue;
         }
         gateway.update_store_address(&mut store);
+        gateway.replicas.record_failed_fetch(feed);
         match read_store(&gateway, &mut store, feed, Duration::ZERO, false).await {
             Ok((rows, is_snapshot)) => {
-                apply_store_rows(&gateway, feed, rows, is_snapshot, StoreGap::None);
+                apply_store_rows(&gateway, feed, rows, is_snapshot, StoreGap::None).await;
             }
             Err(error) => {
                 log::debug!(
@@ -255,7 +265,7 @@
                     table_name(feed)
                 );
                 // The other VM may lack removals after this VM's version, but has the whole table.
-                peers::fetch_feed(&gateway, source, feed, None).await;
+                peers::fetch_feed(&gateway, source, feed, None, FetchPatience::WhileArriving).await;
             }
         }
     }
@@ -275,9 +285,10 @@
         let Some(newer) = newer_config(&gateway) else {
             continue;
         };
-        let delta = peers::fetch_delta(&gateway, newer.source, Feed::Config, None).await;
+        let patience = FetchPatience::WhileArriving;
+        let delta = peers::fetch_delta(&gateway, newer.source, Feed::Config, None, patience).await;
         match delta {
-            Some(delta) => apply_newer_config(&gateway, newer.source, &delta),
+            Some(delta) => apply_newer_config(&gateway, &delta).await,
             None => log::debug!("failed to fetch the configuration of {}", newer.source),
         }
         if newer_config(&gateway).is_some() {
@@ -293,6 +304,13 @@
     (newer.version > gateway.state.borrow().config_version()).then_some(newer)
 }
 
+/// Whether a newer configuration is known to be in force elsewhere, or is being decoded.
+pub(super) fn is_config_outdated(gateway: &Gateway) -> bool {
+    gateway.replicas.decoding.get() > 0
+        || gateway.replicas.newer_source(Feed::Config).is_some()
+        || newer_config(gateway).is_some()
+}
+
 /// Whether this VM watches the store itself for a table.
 fn is_watcher(gateway: &Gateway, feed: Feed) -> bool {
     let now = gateway.now();
