fix(gateway): a request that crashes servers after its first event is refused

Callers saw: a stream that crashes its server in the midst of an answer was sent on to the next server, and the same request again from its caller, with no end.

Cause: since a prompt whose first event has come was no suspect at all, since a deadly part crashes an engine before that event. A whole request may crash its server later. The suspects of both cases were one list.

Change: a stream that had begun is a suspect of its own kind. It is cleared by a whole stream only, is blamed after all others, so that a deadly part explains the streams lost beside it, and counts crashes within 100 ms one by one, because a stream moves from a crashed server to the next at once (12 ms in the test). It is logged only if it is refused, and comes last in digests.

Open: a part that crashes engines after the first event is not found as a part.

--- a/crates/verbenahinge-core/src/gateway/call.rs
+++ b/crates/verbenahinge-core/src/gateway/call.rs
@@ -54,12 +54,27 @@
     /// What the request may crash a backend server with.
     #[must_use]
     pub fn suspects(&self) -> Vec<Suspect> {
+        let mut suspects = self.waiting_suspects();
+        suspects.extend(self.stream_suspect());
+        suspects
+    }
+
+    /// What the request may crash a backend server with until its response begins there.
+    #[must_use]
+    pub fn waiting_suspects(&self) -> Vec<Suspect> {
         match &self.prompt {
             Some(prompt) => Suspect::of_prompt(self.fingerprint, prompt),
             None => vec![Suspect::request(self.fingerprint)],
         }
     }
 
+    /// What a request with a prompt may crash a backend server with after its first event.
+    #[must_use]
+    pub fn stream_suspect(&self) -> Option<Suspect> {
+        let has_prompt = self.prompt.is_some();
+        has_prompt.then(|| Suspect::stream(self.fingerprint))
+    }
+
     /// Time until the deadline.
     #[must_use]
     pub fn time_left(&self, now: Timestamp) -> Duration {
--- a/crates/verbenahinge-core/src/gateway/crash_blame.rs
+++ b/crates/verbenahinge-core/src/gateway/crash_blame.rs
@@ -1,8 +1,8 @@
 //! Which suspects explain the crashes of backend servers.
 //!
-//! A crash names all that was waiting at the server: the cause, what shares its prompt, and its
+//! A crash names all that was running at the server: the cause, what shares its prompt, and its
 //! neighbors. The cause has most crashes in common. It is blamed first; its crashes are then explained
-//! and count against nobody else.
+//! and count against nobody else. Streams that had begun come last.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -26,6 +26,19 @@
     open_crashes: Vec<(Timestamp, CrashId)>,
 }
 
+impl Candidate {
+    /// Number of crashes that no cause explains yet; those at one moment count once, unless one stream
+    /// moved from server to server.
+    fn unexplained_count(&self, explained: &BTreeSet<CrashId>) -> usize {
+        let open = self.open_crashes.iter();
+        let open = open.filter(|(_, crash)| !explained.contains(crash));
+        match self.scope {
+            SuspectScope::Stream => open.count(),
+            _ => count_moments(open.map(|&(at, _)| at)),
+        }
+    }
+}
+
 /// Number of crashes, of which those at one moment count once.
 pub(super) fn count_moments(crashes: impl IntoIterator<Item = Timestamp>) -> usize {
     let mut count = 0;
@@ -71,15 +84,11 @@
 ///
 /// Of several, the most specific one costs the fewest innocent requests.
 fn next_cause(candidates: &mut Vec<Candidate>, explained: &BTreeSet<CrashId>) -> Option<Candidate> {
-    let unexplained = |candidate: &Candidate| {
-        let open = candidate.open_crashes.iter();
-        let open = open.filter(|(_, crash)| !explained.contains(crash));
-        count_moments(open.map(|&(at, _)| at))
-    };
-    candidates.retain(|candidate| unexplained(candidate) >= QUARANTINE_CRASHES);
+    candidates.retain(|candidate| candidate.unexplained_count(explained) >= QUARANTINE_CRASHES);
     let rank = |candidate: &Candidate| {
-        let count = unexplained(candidate);
-        (count, candidate.scope, candidate.fingerprint)
+        let is_waiting = candidate.scope != SuspectScope::Stream;
+        let count = candidate.unexplained_count(explained);
+        (is_waiting, count, candidate.scope, candidate.fingerprint)
     };
     let (index, _) = candidates
         .iter()
--- a/crates/verbenahinge-core/src/gateway/crash_guard.rs
+++ b/crates/verbenahinge-core/src/gateway/crash_guard.rs
@@ -4,6 +4,7 @@
 //! cause may be a part of its prompt, which other requests share. See `docs/design/crash-records.md`
 //! and `docs/design/deadly-parts.md`.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -105,6 +106,13 @@
         learned
     }
 
+    /// Whether a suspect was running at a crash of which nothing has cleared it.
+    #[must_use]
+    pub fn is_suspected(&self, fingerprint: Fingerprint) -> bool {
+        let record = self.evidence.get(fingerprint);
+        record.is_some_and(|record| record.open_count() > 0)
+    }
+
     /// Whether a suspect is blamed, be it refused already or only after a while.
     #[must_use]
     pub fn is_blamed(&self, fingerprint: Fingerprint) -> bool {
@@ -157,6 +165,9 @@
             match suspect.scope {
                 SuspectScope::Request if kind == FailureKind::ConnectionLost => open.is_empty(),
                 SuspectScope::Request => open.len() < QUARANTINE_CRASHES,
+                SuspectScope::Stream => {
+                    kind != FailureKind::ConnectionLost || open.len() < QUARANTINE_CRASHES
+                }
                 SuspectScope::Prompt | SuspectScope::Part { .. } => {
                     kind != FailureKind::ConnectionLost
                         || count_moments(open.into_iter().map(|(at, _)| at)) < QUARANTINE_CRASHES
@@ -178,10 +189,12 @@
             if self.is_blamed(fingerprint) {
                 blamed.push(fingerprint);
             } else {
-                others.push((record.updated_at(), fingerprint));
+                // A stream is rarely the cause of a crash.
+                let is_stream = record.scope == SuspectScope::Stream;
+                others.push((is_stream, Reverse(record.updated_at()), fingerprint));
             }
         }
-        others.sort_unstable_by_key(|&(updated_at, _)| std::cmp::Reverse(updated_at));
+        others.sort_unstable();
         let reserved = others.len().min(RESERVED_SUSPECTS);
         let blamed_count = blamed.len().min(MAX_CRASH_RECORDS - reserved);
         if blamed_count < blamed.len() {
@@ -190,7 +203,7 @@
             blamed.rotate_left(usize::try_from(start).unwrap_or(0));
         }
         let blamed = blamed.into_iter().take(blamed_count);
-        let others = others.into_iter().map(|(_, fingerprint)| fingerprint);
+        let others = others.into_iter().map(|(_, _, fingerprint)| fingerprint);
         self.records(
             now,
             blamed.chain(others.take(MAX_CRASH_RECORDS - blamed_count)),
--- a/crates/verbenahinge-core/src/gateway/suspect.rs
+++ b/crates/verbenahinge-core/src/gateway/suspect.rs
@@ -10,6 +10,9 @@
 /// Hash seed that keeps the fingerprints of parts apart from those of requests.
 const PART_SEED: u64 = 0x7061_7274;
 
+/// Hash seed that keeps the fingerprints of streams that had begun apart from those of requests.
+const STREAM_SEED: u64 = 0x7374_7265_616d;
+
 /// Content that may have made a backend server crash: a request, or a part of its prompt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Suspect {
@@ -29,7 +32,16 @@
         }
     }
 
-    /// Suspects of a request with a prompt: the request, and each part of the prompt but the last.
+    /// Suspect for a request with a prompt whose stream had begun.
+    #[must_use]
+    pub fn stream(fingerprint: Fingerprint) -> Self {
+        Self {
+            fingerprint: mix64(STREAM_SEED, fingerprint),
+            scope: SuspectScope::Stream,
+        }
+    }
+
+    /// Suspects of a request with a prompt that waits for its first event: the request, and each part of the prompt but the last.
     ///
     /// A part may crash one model and not another, so that the model is part of the fingerprint.
     #[must_use]
--- a/crates/verbenahinge-core/src/gateway/suspect_scope.rs
+++ b/crates/verbenahinge-core/src/gateway/suspect_scope.rs
@@ -1,8 +1,11 @@
 //! What a crash suspect stands for.
 
-/// Requests that a crash suspect stands for, from the widest to the most specific.
+/// Requests that a crash suspect stands for. Of several suspects with as many crashes, the one whose scope
+/// comes last is blamed first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum SuspectScope {
+    /// Requests with a prompt that are equal in everything, once their streams have begun.
+    Stream,
     /// All prompts of one model that hold a part.
     Part {
         /// Position of the part in the prompt, from 0; the largest one seen.
@@ -18,6 +21,7 @@
 const REQUEST_NUMBER: u32 = 0;
 const PROMPT_NUMBER: u32 = 1;
 const FIRST_PART_NUMBER: u32 = 2;
+const STREAM_NUMBER: u32 = u32::MAX;
 
 impl SuspectScope {
     /// Number of the scope in messages and rows; 0 is what older builds know.
@@ -26,6 +30,7 @@
         match self {
             Self::Request => REQUEST_NUMBER,
             Self::Prompt => PROMPT_NUMBER,
+            Self::Stream => STREAM_NUMBER,
             Self::Part { position } => FIRST_PART_NUMBER + u32::from(position),
         }
     }
@@ -36,6 +41,7 @@
         match number {
             REQUEST_NUMBER => Self::Request,
             PROMPT_NUMBER => Self::Prompt,
+            STREAM_NUMBER => Self::Stream,
             _ => Self::Part {
                 position: u16::try_from(number - FIRST_PART_NUMBER).unwrap_or(u16::MAX),
             },
--- a/crates/verbenahinge/src/gateway/crash_check.rs
+++ b/crates/verbenahinge/src/gateway/crash_check.rs
@@ -171,6 +171,12 @@
             let mut suspects = suspects.iter();
             suspects.any(|suspect| state.is_quarantined(suspect.fingerprint))
         };
+        let has_begun = suspects
+            .iter()
+            .all(|suspect| suspect.scope == SuspectScope::Stream);
+        if has_begun && !is_quarantined {
+            continue;
+        }
         let mut fingerprints = suspects.iter().map(|suspect| hex(suspect.fingerprint));
         let fingerprint = fingerprints.next().unwrap_or_default();
         let parts: Vec<_> = fingerprints.collect();
@@ -275,7 +281,7 @@
         SuspectScope::Part { .. } => {
             "a part of the prompt crashed backend servers and is not run again"
         }
-        SuspectScope::Prompt | SuspectScope::Request => {
+        SuspectScope::Stream | SuspectScope::Prompt | SuspectScope::Request => {
             "the request crashed backend servers and is not run again"
         }
     }
@@ -285,6 +291,7 @@
     match scope {
         Some(SuspectScope::Part { position }) => format!("part-{position}"),
         Some(SuspectScope::Prompt) => "prompt".to_owned(),
+        Some(SuspectScope::Stream) => "stream".to_owned(),
         Some(SuspectScope::Request) | None => "request".to_owned(),
     }
 }
--- a/crates/verbenahinge/src/gateway/request_handler/crashes.rs
+++ b/crates/verbenahinge/src/gateway/request_handler/crashes.rs
@@ -99,30 +99,38 @@
     pub(super) fn note_first_event_from(&self, server: &str) {
         let mut first_events = self.crash_watch.first_events.borrow_mut();
         if first_events.insert(server.into()) && self.call.prompt.is_some() {
-            crash_check::record_success(&self.gateway, &self.call.suspects());
+            crash_check::record_success(&self.gateway, &self.call.waiting_suspects());
         }
     }
 
-    /// Notes that a stream is complete, which clears a request without a prompt.
+    /// Notes that a stream is complete, which clears the suspects that its first event did not clear.
     pub(crate) fn note_stream_end(&self) {
-        if self.call.prompt.is_none() {
-            crash_check::record_success(&self.gateway, &self.call.suspects());
-        }
+        let suspects = match self.call.stream_suspect() {
+            Some(stream) => vec![stream],
+            None => self.call.suspects(),
+        };
+        crash_check::record_success(&self.gateway, &suspects);
     }
 
     /// Has a server checked whose connection broke.
     ///
-    /// An engine crashes before the first event of a prompt that is to blame for it.
+    /// A part of a prompt crashes an engine before the first event; after it, only the whole request may.
     pub(super) fn note_lost_connection(&self, server: &ServerName) {
-        let has_prompt = self.call.prompt.is_some();
-        if has_prompt && self.crash_watch.first_events.borrow().contains(server) {
-            return;
-        }
         let Some(&crash) = self.crash_watch.crash_ids.get(server) else {
             return;
         };
-        let check = crash_check::check_crash(&self.gateway, server, crash, self.call.suspects());
-        if has_prompt {
+        let has_begun = self.crash_watch.first_events.borrow().contains(server);
+        let (suspects, is_close) = match self.call.stream_suspect() {
+            Some(stream) if has_begun => {
+                let state = self.gateway.state.borrow();
+                let is_suspected = state.crash_guard().is_suspected(stream.fingerprint);
+                (vec![stream], is_suspected)
+            }
+            Some(_) => (self.call.waiting_suspects(), true),
+            None => (self.call.waiting_suspects(), false),
+        };
+        let check = crash_check::check_crash(&self.gateway, server, crash, suspects);
+        if is_close {
             self.crash_watch.pending_check.replace(Some(check));
         }
     }
--- a/crates/verbenahinge/tests/unframed_answers.rs
+++ b/crates/verbenahinge/tests/unframed_answers.rs
@@ -185,6 +185,11 @@
     fleet.wait_for_log(0, "quarantined=true").await;
     let response = fleet.call(0, &stream_request("s2", "/stream/x", 1)).await;
     assert_eq!(response.status, 503);
+    assert!(
+        response.body.contains("is not run again"),
+        "{}",
+        response.body
+    );
 }
 
 /// A stream whose last chunk comes inside an event was ended by its server, which lost nothing.
