--- a/crates/verbenahinge-core/src/gateway.rs
+++ b/crates/verbenahinge-core/src/gateway.rs
@@ -26,6 +26,7 @@
 mod retry_window;
 mod routing;
 mod server_order;
+mod server_start;
 mod state;
 mod store_contact;
 mod store_version;
@@ -48,7 +49,7 @@
 pub use self::part_cache::{PartCache, PartState};
 pub use self::placement::{PlacementContext, PlacementError, ServerChoice};
 pub use self::prompt::{PartId, Prompt, PromptPart};
-pub use self::registry::{Registry, RegistryChange, ServerEntry, ServerState};
+pub use self::registry::{LeavingNews, Registry, RegistryChange, ServerEntry, ServerState};
 pub use self::retry_after::{RETRY_AFTER_MIN, retry_after};
 pub use self::retry_window::RetryWindow;
 pub use self::routing::{
@@ -56,6 +57,7 @@
     ServiceName, TrafficShare,
 };
 pub use self::server_order::ServerOrder;
+pub use self::server_start::ServerStart;
 pub use self::state::{GatewayState, LimitReport, PeerDigest, ServerDigest};
 pub use self::store_contact::{REREGISTER_GRACE, StoreContact, StoreGap};
 pub use self::store_version::StoreVersion;
--- a/crates/verbenahinge-core/src/gateway/backend.rs
+++ b/crates/verbenahinge-core/src/gateway/backend.rs
@@ -6,6 +6,7 @@
 
 mod health;
 mod load;
+mod own_load;
 mod rate_limiter;
 
 use std::collections::BTreeMap;
@@ -104,6 +105,7 @@
     pub fn restart(&mut self) {
         self.cached.clear();
         self.report = None;
+        self.own_report = None;
         self.health = Health::new();
         self.limiter = RateLimiter::new();
     }
@@ -218,7 +220,13 @@
     /// Returns whether the server is ejected and gets no requests.
     #[must_use]
     pub fn is_ejected(&self, now: Timestamp) -> bool {
-        self.health.is_ejected(now)
+        self.ejection_left(now).is_some()
+    }
+
+    /// Time until the server is no longer ejected; `None` if it is not.
+    #[must_use]
+    pub fn ejection_left(&self, now: Timestamp) -> Option<Duration> {
+        self.health.ejection_left(now)
     }
 
     /// Time until the server may get a request from this VM again; `None` if it may now.
@@ -303,32 +311,6 @@
         self.other_vm_loads().map(field).sum()
     }
 
-    fn parts_in_prefill(&self) -> BTreeMap<PartId, PartState> {
-        let mut parts = BTreeMap::new();
-        for request in self.in_flight.values().filter(|request| request.prefilling) {
-            for &part in &request.shared_parts {
-                parts.insert(part, PartState::Prefilling);
-            }
-        }
-        parts
-    }
-
-    fn own_prefill(&self) -> BTreeMap<Priority, PrefillLoad> {
-        let mut by_priority: BTreeMap<Priority, PrefillLoad> = BTreeMap::new();
-        for request in self.in_flight.values() {
-            let is_prefilling = u32::from(request.prefilling);
-            by_priority
-                .entry(request.priority)
-                .or_default()
-                .add(PrefillLoad {
-                    running: 1,
-                    prompts: is_prefilling,
-                    tokens: request.prefill_tokens * is_prefilling,
-                });
-        }
-        by_priority
-    }
-
     fn load_up_to(&self, priority: Priority) -> PrefillLoad {
         let mut total = PrefillLoad::default();
         for (_, &prefill) in self.own_prefill().range(..=priority) {
@@ -405,27 +387,6 @@
             .sum();
         own.saturating_add(self.other_vms_total(|load| load.memory_tokens))
     }
-
-    /// Load that this VM puts on the server.
-    #[must_use]
-    pub fn own_load(&self) -> PeerLoad {
-        let interactive = self
-            .in_flight
-            .values()
-            .filter(|request| request.interactive);
-        PeerLoad {
-            running: count(self.in_flight.len()),
-            interactive: count(interactive.count()),
-            memory_tokens: self
-                .in_flight
-                .values()
-                .map(|request| request.memory_tokens)
-                .sum(),
-            prefill: self.own_prefill(),
-            parts: self.parts_in_prefill(),
-            report: self.own_report,
-        }
-    }
 }
 
 fn count(len: usize) -> u32 {
--- a/crates/verbenahinge-core/src/gateway/backend/health.rs
+++ b/crates/verbenahinge-core/src/gateway/backend/health.rs
@@ -69,9 +69,10 @@
         true
     }
 
-    /// Returns whether the server is ejected and gets no requests.
-    pub(super) fn is_ejected(&self, now: Timestamp) -> bool {
-        self.ejected_until.is_some_and(|until| until > now)
+    /// Time for which the server is still ejected and gets no requests; `None` if it is not.
+    pub(super) fn ejection_left(&self, now: Timestamp) -> Option<Duration> {
+        let left = self.ejected_until?.checked_sub(now)?;
+        (!left.is_zero()).then_some(left)
     }
 
     /// Moving average of the share of requests that failed.
--- a/crates/verbenahinge-core/src/gateway/placement.rs
+++ b/crates/verbenahinge-core/src/gateway/placement.rs
@@ -10,14 +10,20 @@
 //! Plain services: servers have few slots and short requests, and some fail part of their requests
 //! or become slow. A request goes to the least loaded server, with failing servers penalized.
 
+mod candidate;
+mod placement_error;
 mod prefill;
+mod server_choice;
 
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+pub(super) use self::candidate::Candidate;
+pub use self::placement_error::PlacementError;
 use self::prefill::PrefillPlan;
+pub use self::server_choice::ServerChoice;
 use super::server_order::group_hash;
-use super::{Backend, Call, EngineLimits, ServerEntry};
+use super::{Backend, Call, EngineLimits};
 use crate::hash::{hash64, mix64};
 use crate::{ServerName, Timestamp};
 
@@ -71,51 +77,6 @@
 /// Maximum age at which the load reported by a plain server is used.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(400);
 
-/// Server selected for a request.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ServerChoice {
-    /// Name of the backend server.
-    pub server: ServerName,
-    /// Cost of prefilling the prompt there, in tokens.
-    pub prefill_cost: f64,
-    /// Expected time to the first event.
-    pub expected_wait: Duration,
-    /// Engine to copy the KV cache of the shared prompt parts from, if any.
-    pub copy_from: Option<ServerName>,
-    /// Whether prefills of other requests on the same engine would make the stream late.
-    pub interactive: bool,
-}
-
-/// Why no server was selected.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum PlacementError {
-    /// The service has no usable backend server.
-    NoServer,
-    /// The first event would come too late; holds the shortest expected wait.
-    TooLate(Duration),
-    /// The engines that would be in time are full.
-    Full,
-    /// All servers that could be used have named a rate limit that is used up; holds the shortest time
-    /// until one may get a request.
-    Limited(Duration),
-    /// The prefill queues of the engines that would be in time have room only for more urgent
-    /// prompts; holds the shortest expected wait.
-    Yields(Duration),
-    /// The request, or a part of its prompt, crashes servers; holds the time for which it is refused.
-    Quarantined(Duration),
-    /// The request, or a part of its prompt, may have crashed two servers.
-    CrashSuspect,
-}
-
-/// Backend server that a request can be sent to.
-#[derive(Clone, Copy, Debug)]
-pub struct Candidate<'a> {
-    /// Entry in the registry.
-    pub entry: &'a ServerEntry,
-    /// Load and health of the server as known to this VM.
-    pub backend: &'a Backend,
-}
-
 /// Inputs to a placement decision other than the request and the candidates.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementContext<'a> {
@@ -157,8 +118,10 @@
     ) -> Result<ServerChoice, PlacementError> {
         let mut open: Vec<Candidate> = Vec::new();
         let mut least_wait = Duration::MAX;
+        let mut paused = 0;
         for candidate in candidates {
-            match candidate.backend.limit_wait() {
+            paused += usize::from(candidate.pause.is_some());
+            match candidate.wait() {
                 None => open.push(*candidate),
                 Some(wait) => least_wait = least_wait.min(wait),
             }
@@ -168,17 +131,22 @@
         }
         let mut usable: Vec<Candidate> = Vec::new();
         for candidate in &open {
-            if !candidate.backend.is_ejected(self.now) {
-                usable.push(*candidate);
+            match candidate.backend.ejection_left(self.now) {
+                None => usable.push(*candidate),
+                Some(left) => least_wait = least_wait.min(left),
             }
         }
         // If more than half of the candidates are ejected, the fault is likely on this VM, so the
-        // ejections are ignored.
-        if usable.len() * 2 < open.len() {
+        // ejections are ignored. Servers that pause have answered this VM.
+        if (usable.len() + paused) * 2 < open.len() + paused {
             usable = open;
         }
         if usable.is_empty() {
-            return Err(PlacementError::NoServer);
+            return Err(if paused > 0 {
+                PlacementError::Limited(least_wait)
+            } else {
+                PlacementError::NoServer
+            });
         }
         match (self.engine, &call.prompt) {
             (Some(engine), Some(_)) => self.choose_engine(call, &usable, engine),
--- /dev/null
+++ b/crates/verbenahinge-core/src/gateway/placement/candidate.rs
@@ -0,0 +1,23 @@
+//! Backend server that is considered for a request.
+
+use std::time::Duration;
+
+use crate::gateway::{Backend, ServerEntry};
+
+/// Backend server that a request can be sent to.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// Entry in the registry.
+    pub entry: &'a ServerEntry,
+    /// Load and health of the server as known to this VM.
+    pub backend: &'a Backend,
+    /// Time for which the server still wants no requests from this VM; `None` if it does now.
+    pub pause: Option<Duration>,
+}
+
+impl Candidate<'_> {
+    /// Time until the server may get a request from this VM; `None` if it may now.
+    pub(super) fn wait(&self) -> Option<Duration> {
+        self.pause.max(self.backend.limit_wait())
+    }
+}
--- a/crates/verbenahinge-core/src/gateway/registry.rs
+++ b/crates/verbenahinge-core/src/gateway/registry.rs
@@ -1,13 +1,19 @@
 //! Registry of backend servers, which register themselves.
 
+mod leaving_starts;
+mod registration;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use strum::{Display, IntoStaticStr};
 
+pub use self::leaving_starts::LeavingNews;
+use self::leaving_starts::LeavingStarts;
+use self::registration::{Registration, Standing};
 use super::server_order::ServerOrder;
-use super::{REREGISTER_GRACE, ServiceName};
+use super::{REREGISTER_GRACE, ServerStart, ServiceName};
 use crate::{ServerName, Timestamp, ZoneName};
 
 /// Time for which a server is held, in heartbeats. The entry of a server that has left lapses after
@@ -15,10 +21,11 @@
 const HOLD_HEARTBEATS: u32 = 4;
 
 /// Whether a backend server accepts new requests.
-#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Display, Eq, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "snake_case")]
 pub enum ServerState {
     /// The server accepts new requests.
+    #[default]
     Ready,
     /// The server completes its running requests and then shuts down.
     Draining,
@@ -61,6 +68,15 @@
         }
     }
 
+    /// Returns the start of the server that the entry describes.
+    #[must_use]
+    pub fn start(&self) -> ServerStart {
+        ServerStart {
+            server: self.id.clone(),
+            started_unix_ms: self.started_unix_ms,
+        }
+    }
+
     /// Sets the availability zone.
     #[must_use]
     pub fn availability_zone(mut self, zone: &str) -> Self {
@@ -104,29 +120,12 @@
     Held,
 }
 
-#[derive(Clone, Debug)]
-struct Registration {
-    entry: ServerEntry,
-    reregister_deadline: Option<Timestamp>,
-    /// Time until which the server stays unused, though its entry says that it is ready.
-    held_until: Option<Timestamp>,
-}
-
-impl Registration {
-    const fn new(entry: ServerEntry) -> Self {
-        Self {
-            entry,
-            reregister_deadline: None,
-            held_until: None,
-        }
-    }
-}
-
 /// Registered backend servers by name.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     servers: BTreeMap<ServerName, Registration>,
     orders: BTreeMap<ServiceName, ServerOrder>,
+    leaving: LeavingStarts,
 }
 
 impl Registry {
@@ -134,11 +133,12 @@
     pub fn upsert(&mut self, entry: ServerEntry) -> Option<RegistryChange> {
         let id = entry.id.clone();
         let state = entry.state;
-        let registration = Registration::new(entry);
+        let standing = self.standing_of(&entry);
+        let registration = Registration { entry, standing };
         let old = self.servers.get(&id);
         let change = match old {
             None => RegistryChange::Added,
-            Some(old) if old.entry == registration.entry && old.held_until.is_none() => {
+            Some(old) if old.entry == registration.entry && !old.is_held() => {
                 self.servers.insert(id, registration);
                 return None;
             }
@@ -151,7 +151,7 @@
             Some(_) => RegistryChange::Updated,
         };
         self.remove_from_order(&id);
-        if state == ServerState::Ready {
+        if registration.is_usable() {
             let order = self.orders.entry(registration.entry.service.clone());
             order.or_default().insert(&id, registration.entry.slots);
         }
@@ -172,18 +172,22 @@
         was_removed: bool,
         heartbeat: Duration,
     ) -> Option<RegistryChange> {
+        let standing = self.standing_of(&entry);
         match self.servers.get_mut(&entry.id) {
             Some(old)
                 if old.entry.state == ServerState::Draining
                     && old.entry.started_unix_ms == entry.started_unix_ms =>
             {
-                old.reregister_deadline = None;
+                old.standing = standing;
                 None
             }
             None if was_removed && entry.state == ServerState::Ready => {
-                let mut registration = Registration::new(entry);
-                registration.held_until = Some(now + heartbeat * HOLD_HEARTBEATS);
-                let id = registration.entry.id.clone();
+                let until = now + heartbeat * HOLD_HEARTBEATS;
+                let id = entry.id.clone();
+                let registration = Registration {
+                    entry,
+                    standing: Standing::Held { until },
+                };
                 self.servers.insert(id, registration);
                 Some(RegistryChange::Held)
             }
@@ -191,6 +195,44 @@
         }
     }
 
+    /// Standing of a server whose entry is in the store.
+    fn standing_of(&self, entry: &ServerEntry) -> Standing {
+        if self.leaving.contains(&entry.start()) {
+            Standing::Leaving
+        } else {
+            Standing::Listed
+        }
+    }
+
+    /// Records that a server has said that it leaves, in an answer to this VM or another.
+    ///
+    /// It stays unused until it starts again. If its entry is missing after an outage of the store, the
+    /// entry is removed, as nothing speaks for its return.
+    pub fn note_leaving(&mut self, now: Timestamp, start: &ServerStart) -> LeavingNews {
+        if !self.leaving.insert(now, start) {
+            return LeavingNews::Known;
+        }
+        let id = &*start.server;
+        let Some(server) = self.servers.get_mut(id) else {
+            return LeavingNews::Unused;
+        };
+        if server.entry.started_unix_ms != start.started_unix_ms {
+            return LeavingNews::Unused;
+        }
+        let was_usable = server.is_usable();
+        let was_missing = matches!(server.standing, Standing::Missing { .. });
+        server.standing = Standing::Leaving;
+        self.remove_from_order(id);
+        if was_missing {
+            self.servers.remove(id);
+        }
+        if was_usable {
+            LeavingNews::Stopped
+        } else {
+            LeavingNews::Unused
+        }
+    }
+
     fn remove_from_order(&mut self, id: &str) {
         let Some((id, registration)) = self.servers.get_key_value(id) else {
             return;
@@ -212,10 +254,12 @@
     /// of a draining server is removed at once.
     pub fn mark_missing(&mut self, now: Timestamp, id: &str) -> Option<RegistryChange> {
         let server = self.servers.get_mut(id)?;
-        if server.entry.state == ServerState::Draining || server.held_until.is_some() {
+        if !server.is_usable() {
             return self.remove(id);
         }
-        server.reregister_deadline = Some(now + REREGISTER_GRACE);
+        server.standing = Standing::Missing {
+            deadline: now + REREGISTER_GRACE,
+        };
         Some(RegistryChange::Missing)
     }
 
@@ -223,11 +267,15 @@
     /// servers that were held long enough become ready.
     pub fn expire(&mut self, now: Timestamp) -> Vec<ServerName> {
         self.release_held(now);
+        let servers = &self.servers;
+        self.leaving.expire(now, |start| {
+            let listed = servers.get(&start.server);
+            listed.is_some_and(|server| server.entry.started_unix_ms == start.started_unix_ms)
+        });
         let mut expired = Vec::new();
         for (id, server) in &self.servers {
-            if server
-                .reregister_deadline
-                .is_some_and(|deadline| deadline <= now)
+            if let Standing::Missing { deadline } = server.standing
+                && deadline <= now
             {
                 expired.push(id.clone());
             }
@@ -240,8 +288,10 @@
 
     fn release_held(&mut self, now: Timestamp) {
         let mut released = Vec::new();
-        for server in self.servers.values_mut() {
-            if server.held_until.is_some_and(|until| until <= now) {
+        for server in self.servers.values() {
+            if let Standing::Held { until } = server.standing
+                && until <= now
+            {
                 released.push(server.entry.clone());
             }
         }
@@ -253,10 +303,14 @@
     /// Time at which the next missing entry expires.
     #[must_use]
     pub fn next_expiry(&self) -> Option<Timestamp> {
-        let servers = self.servers.values();
-        servers
-            .filter_map(|server| server.reregister_deadline)
-            .min()
+        let deadlines = self
+            .servers
+            .values()
+            .filter_map(|server| match server.standing {
+                Standing::Missing { deadline } => Some(deadline),
+                Standing::Listed | Standing::Held { .. } | Standing::Leaving => None,
+            });
+        deadlines.min()
     }
 
     /// Returns the entry of a backend server.
@@ -265,6 +319,13 @@
         self.servers.get(id).map(|registration| &registration.entry)
     }
 
+    /// Returns the entry of a backend server if it gets requests.
+    #[must_use]
+    pub fn usable(&self, id: &str) -> Option<&ServerEntry> {
+        let registration = self.servers.get(id)?;
+        registration.is_usable().then_some(&registration.entry)
+    }
+
     /// Ready backend servers of a service in the order that all VMs agree on.
     #[must_use]
     pub fn order(&self, service: &str) -> Option<&ServerOrder> {
--- a/crates/verbenahinge-core/src/gateway/state.rs
+++ b/crates/verbenahinge-core/src/gateway/state.rs
@@ -4,9 +4,11 @@
 mod crashes;
 mod demand;
 mod limits;
+mod pauses;
 mod peer_digest;
 mod permits;
 mod retries;
+mod servers;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -15,15 +17,14 @@
 use self::demand::PromptArrival;
 pub use self::limits::LimitReport;
 use self::limits::{LimitedPriority, PeerDemands};
+use self::pauses::Pauses;
 pub use self::peer_digest::{PeerDigest, ServerDigest};
 use self::permits::PermitBucket;
 use super::placement::Candidate;
 use super::{
     Backend, Bounds, Call, CallId, CrashGuard, LoadReport, PlacementContext, PlacementError,
-    Priority, Registry, RegistryChange, RetryWindow, Routing, ServerChoice, ServerEntry,
-    ServerState, ServiceName,
+    Priority, Registry, RetryWindow, Routing, ServerChoice, ServerEntry, ServiceName,
 };
-use crate::hash::hash64;
 use crate::{FailureKind, ServerName, Timestamp, VmId, ZoneName};
 
 /// Delay after which a less urgent request may use what the servers' limits leave.
@@ -59,6 +60,7 @@
     limited_priorities: BTreeMap<ServiceName, BTreeMap<Priority, LimitedPriority>>,
     uses_permits: bool,
     permit_buckets: BTreeMap<u64, PermitBucket>,
+    pauses: Pauses,
 }
 
 impl GatewayState {
@@ -87,6 +89,7 @@
             limited_priorities: BTreeMap::new(),
             uses_permits: false,
             permit_buckets: BTreeMap::new(),
+            pauses: Pauses::new(),
         }
     }
 
@@ -110,63 +113,6 @@
         &self.registry
     }
 
-    /// Inserts or updates the registry entry of a backend server.
-    pub fn upsert_server(&mut self, entry: ServerEntry) -> Option<RegistryChange> {
-        let id = entry.id.clone();
-        let change = self.registry.upsert(entry);
-        self.add_backend(id, change);
-        change
-    }
-
-    fn add_backend(&mut self, id: ServerName, change: Option<RegistryChange>) {
-        let backend = self.backends.entry(id.clone()).or_default();
-        if change == Some(RegistryChange::Restarted) {
-            backend.restart();
-        }
-        self.names_by_hash.insert(hash64(id.as_bytes()), id);
-    }
-
-    /// Inserts or updates a registry entry that is read from an older copy of the store; see
-    /// [`Registry::restore`].
-    pub fn restore_server(
-        &mut self,
-        now: Timestamp,
-        entry: ServerEntry,
-        was_removed: bool,
-    ) -> Option<RegistryChange> {
-        let id = entry.id.clone();
-        let heartbeat = self.bounds.server_heartbeat;
-        let change = self.registry.restore(now, entry, was_removed, heartbeat);
-        self.add_backend(id, change);
-        change
-    }
-
-    /// Removes a backend server whose registry entry was removed.
-    pub fn remove_server(&mut self, id: &str) -> Option<RegistryChange> {
-        let change = self.registry.remove(id);
-        self.remove_backend(id);
-        change
-    }
-
-    /// Marks a backend server whose registry entry is missing after an outage of the store.
-    pub fn mark_server_missing(&mut self, now: Timestamp, id: &str) -> Option<RegistryChange> {
-        let change = self.registry.mark_missing(now, id);
-        if change == Some(RegistryChange::Removed) {
-            self.remove_backend(id);
-        }
-        change
-    }
-
-    /// Marks the registry as complete: all registered backend servers are known.
-    pub const fn mark_registry_complete(&mut self) {
-        self.is_registry_complete = true;
-    }
-
-    fn remove_backend(&mut self, id: &str) {
-        self.backends.remove(id);
-        self.names_by_hash.remove(&hash64(id.as_bytes()));
-    }
-
     /// Drops expired state; returns the backend servers whose registry entries expired.
     ///
     /// A VM that sent no digest for `vm_lost_after` no longer counts.
@@ -182,6 +128,7 @@
         }
         self.crash_guard.expire(now);
         self.expire_limits(now);
+        self.expire_pauses(now);
         expired
     }
 
@@ -227,12 +174,12 @@
         if self.yields_limited(now, call) {
             return Err(PlacementError::Limited(LIMIT_YIELD_DELAY));
         }
-        let candidates = self.candidates(call, tried);
-        let choice = self.placement_context(now, call).choose(call, &candidates);
-        if matches!(choice, Err(PlacementError::Limited(_))) {
-            self.note_limited(now, call, true);
+        let candidates = self.candidates(now, call, tried);
+        match self.placement_context(now, call).choose(call, &candidates) {
+            Err(PlacementError::Limited(wait)) => Err(self.refuse_waiting(now, call, wait)),
+            Err(PlacementError::NoServer) => Err(self.refuse_unplaced(now, call)),
+            choice => choice,
         }
-        choice
     }
 
     /// Chooses a backend server for a call among those whose load was queried.
@@ -261,10 +208,9 @@
         queried.sort_unstable();
         let mut candidates = Vec::new();
         for id in queried {
-            let entry = self.registry.get(id);
-            let entry = entry.filter(|entry| entry.state == ServerState::Ready);
+            let entry = self.registry.usable(id);
             if let (Some(entry), Some(backend)) = (entry, self.backends.get(id)) {
-                candidates.push(Candidate { entry, backend });
+                candidates.push(self.candidate(now, entry, backend));
             }
         }
         context.choose(call, &candidates)
@@ -272,7 +218,7 @@
 
     /// Ranks engines for a call by its prompt alone, without their load, best first.
     ///
-    /// Omits engines in `tried` and ejected ones; empty if the call has no prompt.
+    /// Omits engines in `tried`, ejected ones and those that pause; empty if the call has no prompt.
     pub fn rank_engines(
         &mut self,
         now: Timestamp,
@@ -290,21 +236,41 @@
         let group_size = context.interactive_group_size;
         order.top_ranked(prompt.prefix_key(), group_size, interactive, count, |id| {
             let backend = self.backends.get(id);
+            let entry = self.registry.get(id);
             !tried.contains(id)
+                && entry.is_some_and(|entry| self.pause_left(now, entry).is_none())
                 && backend.is_some_and(|backend| {
                     !backend.is_ejected(now) && backend.limit_wait().is_none()
                 })
         })
     }
 
-    fn candidates<'a>(&'a self, call: &'a Call, tried: &[ServerName]) -> Vec<Candidate<'a>> {
+    fn candidate<'a>(
+        &self,
+        now: Timestamp,
+        entry: &'a ServerEntry,
+        backend: &'a Backend,
+    ) -> Candidate<'a> {
+        Candidate {
+            entry,
+            backend,
+            pause: self.pause_left(now, entry),
+        }
+    }
+
+    fn candidates<'a>(
+        &'a self,
+        now: Timestamp,
+        call: &'a Call,
+        tried: &[ServerName],
+    ) -> Vec<Candidate<'a>> {
         let mut candidates = Vec::new();
         for entry in self.registry.ready(&call.service) {
             if tried.contains(&entry.id) {
                 continue;
             }
             if let Some(backend) = self.backends.get(&entry.id) {
-                candidates.push(Candidate { entry, backend });
+                candidates.push(self.candidate(now, entry, backend));
             }
         }
         candidates
--- a/crates/verbenahinge-core/src/gateway/state/limits.rs
+++ b/crates/verbenahinge-core/src/gateway/state/limits.rs
@@ -278,27 +278,34 @@
     /// Whether a call yields the little that the limits leave to more urgent ones, of which one was
     /// refused shortly before.
     pub(super) fn yields_limited(&self, now: Timestamp, call: &Call) -> bool {
-        if !self.is_service_limited(call) {
+        if !self.is_service_limited(now, call) {
             return false;
         }
         let Some(priorities) = self.limited_priorities.get(&call.service) else {
             return false;
         };
-        let priority = call.priority();
         let admitted_at = priorities
-            .get(&priority)
+            .get(&call.priority())
             .and_then(|state| state.admitted_at);
         if admitted_at.is_none_or(|at| at + MAX_YIELD_TIME <= now) {
             return false;
         }
+        self.is_preceded(now, call)
+    }
+
+    /// Whether a more urgent request for a call's service was refused shortly before.
+    pub(super) fn is_preceded(&self, now: Timestamp, call: &Call) -> bool {
+        let Some(priorities) = self.limited_priorities.get(&call.service) else {
+            return false;
+        };
         priorities
-            .range(..priority)
+            .range(..call.priority())
             .any(|(_, state)| state.refused_at.is_some_and(|at| at + YIELD_TIME > now))
     }
 
     /// Records whether a call was refused because of limits.
     pub(super) fn note_limited(&mut self, now: Timestamp, call: &Call, is_refused: bool) {
-        if !self.is_service_limited(call) {
+        if !self.is_service_limited(now, call) {
             self.limited_priorities.remove(&call.service);
             return;
         }
@@ -314,17 +321,16 @@
         }
     }
 
-    /// Whether all ready servers of a call's service are limited.
-    fn is_service_limited(&self, call: &Call) -> bool {
-        if self.limited_servers.is_empty() {
+    /// Whether all ready servers of a call's service are limited or pause.
+    fn is_service_limited(&self, now: Timestamp, call: &Call) -> bool {
+        if self.limited_servers.is_empty() && self.pauses.is_empty() {
             return false;
         }
-        let Some(order) = self.registry.order(&call.service) else {
-            return false;
-        };
-        order
-            .names()
-            .all(|server| self.limited_servers.contains(server))
+        let mut servers = self.registry.ready(&call.service).peekable();
+        servers.peek().is_some()
+            && servers.all(|entry| {
+                self.limited_servers.contains(&entry.id) || self.pause_left(now, entry).is_some()
+            })
     }
 }
 
--- a/crates/verbenahinge-core/src/node/failure.rs
+++ b/crates/verbenahinge-core/src/node/failure.rs
@@ -158,7 +158,10 @@
         let crashed = match kind {
             FailureKind::ConnectFailed | FailureKind::Rejected => running.resuming,
             FailureKind::ConnectionLost => !self.is_engine(pool),
-            FailureKind::ServerError | FailureKind::Silent | FailureKind::Malformed => false,
+            FailureKind::NotSent
+            | FailureKind::ServerError
+            | FailureKind::Silent
+            | FailureKind::Malformed => false,
         };
         if !crashed {
             return;
--- a/crates/verbenahinge-core/src/retry.rs
+++ b/crates/verbenahinge-core/src/retry.rs
@@ -22,6 +22,8 @@
 pub enum FailureKind {
     /// No connection could be opened.
     ConnectFailed,
+    /// The backend server stopped taking requests before this one was sent to it.
+    NotSent,
     /// The backend server refused to take the request.
     Rejected,
     /// The backend server answered with a server error after taking the request.
@@ -39,7 +41,7 @@
     #[must_use]
     pub const fn verdict(self) -> Verdict {
         match self {
-            Self::ConnectFailed | Self::Rejected => Verdict::NotRun,
+            Self::ConnectFailed | Self::NotSent | Self::Rejected => Verdict::NotRun,
             Self::ServerError | Self::ConnectionLost | Self::Silent | Self::Malformed => {
                 Verdict::MayHaveRun
             }
@@ -51,14 +53,14 @@
     pub const fn may_still_run(self) -> bool {
         match self {
             Self::ConnectionLost | Self::Silent | Self::Malformed => true,
-            Self::ConnectFailed | Self::Rejected | Self::ServerError => false,
+            Self::ConnectFailed | Self::NotSent | Self::Rejected | Self::ServerError => false,
         }
     }
 
     /// Returns whether a retry adds load to the backend servers.
     #[must_use]
     pub const fn retry_adds_load(self) -> bool {
-        !matches!(self, Self::ConnectFailed | Self::Rejected)
+        !matches!(self, Self::ConnectFailed | Self::NotSent | Self::Rejected)
     }
 
     /// Returns whether the failure suggests that the backend server is down.
@@ -66,7 +68,7 @@
     pub const fn suggests_server_down(self) -> bool {
         match self {
             Self::ConnectFailed | Self::ConnectionLost | Self::Silent | Self::Malformed => true,
-            Self::Rejected | Self::ServerError => false,
+            Self::NotSent | Self::Rejected | Self::ServerError => false,
         }
     }
 }
--- a/crates/verbenahinge-core/tests/limit_sharing.rs
+++ b/crates/verbenahinge-core/tests/limit_sharing.rs
@@ -374,3 +374,26 @@
         assert_eq!(fleet.refused, 0, "{size} VMs");
     }
 }
+
+/// Guards against requests that yield the little that limits leave, though the limited servers have
+/// left and a server without a limit is free.
+#[test]
+fn departed_servers_count_as_limited() {
+    let mut fleet = Fleet::new(1, 1, Some(1.0));
+    fleet.run_for(SETTLE_TIME, 20.0, Spread::Even);
+    while fleet.arrive_at(0, 3) {}
+    fleet.run_for(Duration::from_secs(1), 0.0, Spread::Even);
+    assert!(fleet.arrive_at(0, 3));
+    while fleet.arrive_at(0, 1) {}
+    let now = fleet.now;
+    let state = &mut fleet.vms[0];
+    for server in 0..SERVERS - 1 {
+        let name = format!("server-{server}");
+        let start = state.registry().get(&name).expect("an entry").start();
+        state.note_leaving(now, &start);
+    }
+    // The remaining server names no limit any more.
+    let free = format!("server-{}", SERVERS - 1);
+    state.note_limit(now, &free, now, None);
+    assert!(fleet.arrive_at(0, 3));
+}
--- a/crates/verbenahinge-emulator/src/scripted_server.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server.rs
@@ -5,8 +5,10 @@
 //! library would not produce invalid ones.
 //!
 //! `PUT /stand-in/faults` sets the [`ServerFaults`]; `GET /stand-in/runs` returns the
-//! [`ExecutedRequest`]s.
+//! [`ExecutedRequest`]s, and `GET /stand-in/arrivals` every [`Arrival`], also of requests that were
+//! rejected.
 
+mod arrival;
 mod events;
 mod executed_request;
 mod framing;
@@ -20,12 +22,15 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use serde::Serialize;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
+pub use self::arrival::Arrival;
 pub use self::executed_request::ExecutedRequest;
 pub use self::framing::Framing;
 use self::request::ParsedRequest;
+use self::response::Responder;
 pub use self::server_fault::ServerFault;
 pub use self::server_faults::ServerFaults;
 
@@ -35,6 +40,9 @@
 /// Path for reading the [`ExecutedRequest`]s.
 pub const RUNS_PATH: &str = "/stand-in/runs";
 
+/// Path for reading the [`Arrival`]s.
+pub const ARRIVALS_PATH: &str = "/stand-in/arrivals";
+
 /// Exit code of a process that crashes by an injected fault.
 const CRASH_EXIT_CODE: i32 = 3;
 
@@ -57,6 +65,7 @@
     options: ScriptedServerOptions,
     faults: RefCell<ServerFaults>,
     executed_requests: RefCell<Vec<ExecutedRequest>>,
+    arrivals: RefCell<Vec<Arrival>>,
     running: Cell<u32>,
     connections: Cell<u64>,
     started: Instant,
@@ -68,6 +77,7 @@
         faults: RefCell::new(options.faults),
         options,
         executed_requests: RefCell::default(),
+        arrivals: RefCell::default(),
         running: Cell::new(0),
         connections: Cell::new(0),
         started: Instant::now(),
@@ -100,6 +110,15 @@
     Ok(())
 }
 
+async fn send_records<T: Serialize>(
+    stream: &mut TcpStream,
+    records: &RefCell<Vec<T>>,
+) -> io::Result<bool> {
+    let body = serde_json::to_vec(&*records.borrow())?;
+    stream.write_all(&response::control(&body)).await?;
+    Ok(true)
+}
+
 impl ScriptedServer {
     async fn serve_connection(&self, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
@@ -110,7 +129,8 @@
         while let Some(request) = request::read_request(&mut stream, &mut buffer).await? {
             let keep_open = match (request.method.as_str(), request.target.as_str()) {
                 ("PUT", FAULTS_PATH) => self.set_faults(&mut stream, &request).await?,
-                ("GET", RUNS_PATH) => self.send_executed_requests(&mut stream).await?,
+                ("GET", RUNS_PATH) => send_records(&mut stream, &self.executed_requests).await?,
+                ("GET", ARRIVALS_PATH) => send_records(&mut stream, &self.arrivals).await?,
                 _ => {
                     self.handle_request(&mut stream, &request, connection, &mut last_fault)
                         .await?
@@ -134,10 +154,17 @@
         Ok(true)
     }
 
-    async fn send_executed_requests(&self, stream: &mut TcpStream) -> io::Result<bool> {
-        let body = serde_json::to_vec(&*self.executed_requests.borrow())?;
-        stream.write_all(&response::control(&body)).await?;
-        Ok(true)
+    /// Time since the start of the server, in milliseconds.
+    fn elapsed_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Responses to a request, by the faults that are set now.
+    fn responder<'a>(&self, request: &'a ParsedRequest) -> Responder<'a> {
+        Responder {
+            request,
+            faults: *self.faults.borrow(),
+        }
     }
 
     /// Returns the fault for the next request and counts it against `times`.
@@ -159,21 +186,29 @@
         last_fault: &mut ServerFault,
     ) -> io::Result<bool> {
         if request.expected_server != self.options.id {
-            stream.write_all(&response::misdirected(request)).await?;
+            let response = self.responder(request).misdirected();
+            stream.write_all(&response).await?;
             return Ok(true);
         }
+        let arrived_ms = self.elapsed_ms();
+        self.arrivals.borrow_mut().push(Arrival {
+            request_id: request.request_id.clone(),
+            arrived_ms,
+        });
         let fault = self.next_fault();
         if fault == ServerFault::Reject {
-            stream.write_all(&response::not_executed(request)).await?;
+            let delay = Duration::from_millis(self.faults.borrow().reject_delay_ms);
+            actix_rt::time::sleep(delay).await;
+            let response = self.responder(request).not_executed();
+            stream.write_all(&response).await?;
             return Ok(true);
         }
         if !fault.is_sound() || last_fault.is_sound() {
             *last_fault = fault;
         }
         let record_index = self.executed_requests.borrow().len();
-        let arrived_ms = self.started.elapsed().as_millis();
         let executed = ExecutedRequest {
-            arrived_ms: u64::try_from(arrived_ms).unwrap_or(u64::MAX),
+            arrived_ms,
             fault: *last_fault,
             connection,
             ..request.to_executed_request()
@@ -209,16 +244,17 @@
         let load = [self.running.get(), 0, self.options.slots];
         // They may have been changed meanwhile.
         let faults = *self.faults.borrow();
+        let responder = self.responder(request);
         match fault {
             ServerFault::LoseAnswer => return Ok(false),
             ServerFault::Silence => return std::future::pending().await,
             ServerFault::Crash => std::process::exit(CRASH_EXIT_CODE),
             ServerFault::Fail => {
-                stream.write_all(&response::failed(request)).await?;
+                stream.write_all(&responder.failed()).await?;
                 return Ok(true);
             }
             ServerFault::EndlessHead | ServerFault::EndlessBody | ServerFault::EndlessEvent => {
-                send_endlessly(stream, &response::endless_start(request, fault)).await?;
+                send_endlessly(stream, &responder.endless_start(fault)).await?;
                 if let Some(executed) = self.executed_requests.borrow_mut().get_mut(record_index) {
                     executed.was_closed = true;
                 }
@@ -231,23 +267,22 @@
             ServerFault::ForeignAnswer => {
                 let mut foreign = request.clone();
                 "foreign".clone_into(&mut foreign.request_id);
-                stream
-                    .write_all(&response::complete(&foreign, load, &faults))
-                    .await?;
+                let response = self.responder(&foreign).complete(load);
+                stream.write_all(&response).await?;
             }
             ServerFault::Unframed => {
-                stream.write_all(&response::unframed(request)).await?;
+                stream.write_all(&responder.unframed()).await?;
                 // A linger time of zero makes the close send a reset.
                 stream.set_zero_linger()?;
                 return Ok(false);
             }
             ServerFault::CutHead => {
-                let bytes = response::complete(request, load, &faults);
+                let bytes = responder.complete(load);
                 stream.write_all(&bytes[..CUT_HEAD_BYTES]).await?;
                 return Ok(false);
             }
             _ if fault.cuts_bodies() && !request.is_stream => {
-                let bytes = response::complete(request, load, &faults);
+                let bytes = responder.complete(load);
                 stream.write_all(&bytes[..bytes.len() - 2]).await?;
                 if fault.resets() {
                     stream.set_zero_linger()?;
@@ -259,7 +294,7 @@
         if request.is_stream {
             self.send_events(stream, request, fault).await?;
         } else {
-            let bytes = response::complete(request, load, &faults);
+            let bytes = responder.complete(load);
             let mut rest = &bytes[..];
             if fault == ServerFault::Pause {
                 let (first, last) = bytes.split_at(bytes.len() - 2);
@@ -273,8 +308,7 @@
             executed.is_complete = true;
         }
         if fault == ServerFault::ExtraAnswer {
-            let bytes = response::complete(request, load, &faults);
-            stream.write_all(&bytes).await?;
+            stream.write_all(&responder.complete(load)).await?;
         }
         Ok(fault != ServerFault::BreakOff && !faults.framing.ends_connection())
     }
--- a/crates/verbenahinge-emulator/src/scripted_server/events.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/events.rs
@@ -19,9 +19,8 @@
     ) -> io::Result<()> {
         let faults = *self.faults.borrow();
         let event_interval = Duration::from_millis(faults.work_ms);
-        stream
-            .write_all(&response::stream_head(request, &faults))
-            .await?;
+        let head = self.responder(request).stream_head();
+        stream.write_all(&head).await?;
         let first = request.last_event + 1;
         for id in first..=faults.events {
             let event = response::event(id, &self.options.id);
--- a/crates/verbenahinge-emulator/src/scripted_server/response.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/response.rs
@@ -1,5 +1,6 @@
 //! Bytes of HTTP responses.
 
+use hyper::header::RETRY_AFTER;
 use verbenahinge_platform::http_headers;
 
 use super::request::ParsedRequest;
@@ -16,108 +17,140 @@
     bytes
 }
 
-fn response_head(status: &str, request: &ParsedRequest, headers: &str) -> String {
-    let id = http_headers::REQUEST_ID;
-    format!(
-        "HTTP/1.1 {status}\r\n{id}: {}\r\n{headers}\r\n",
-        request.request_id
-    )
+/// Builds the responses to one request.
+#[derive(Clone, Copy)]
+pub(super) struct Responder<'a> {
+    pub(super) request: &'a ParsedRequest,
+    pub(super) faults: ServerFaults,
 }
 
-fn signature_header(request: &ParsedRequest) -> String {
-    format!(
-        "{}: signed-{}\r\n",
-        http_headers::SIGNATURE,
-        request.request_id
-    )
-}
+impl Responder<'_> {
+    fn head(self, status: &str, headers: &str) -> String {
+        let id = http_headers::REQUEST_ID;
+        format!(
+            "HTTP/1.1 {status}\r\n{id}: {}\r\n{}{headers}\r\n",
+            self.request.request_id,
+            self.leaving_header(),
+        )
+    }
 
-/// Header line with a rate limit; empty if there is none.
-fn limit_header(limit_per_s: f64) -> String {
-    if limit_per_s > 0.0 {
-        format!("{}: {limit_per_s}\r\n", http_headers::RATE_LIMIT)
-    } else {
-        String::new()
+    fn signature_header(self) -> String {
+        format!(
+            "{}: signed-{}\r\n",
+            http_headers::SIGNATURE,
+            self.request.request_id
+        )
     }
-}
 
-/// Complete response whose body contains the request ID.
-pub(super) fn complete(request: &ParsedRequest, load: [u32; 3], faults: &ServerFaults) -> Vec<u8> {
-    let body = format!("answer to {}", request.request_id);
-    let [running, waiting, slots] = load;
-    let headers = format!(
-        "{}{}{}: {running},{waiting},{slots}\r\n{}",
-        signature_header(request),
-        limit_header(faults.limit_per_s),
-        http_headers::LOAD,
-        faults.framing.plain_headers(body.len()),
-    );
-    let status = match faults.status {
-        0 | 200 => "200 OK".to_owned(),
-        status => format!("{status} Status"),
-    };
-    let mut bytes = response_head(&status, request, &headers).into_bytes();
-    if request.method != "HEAD" && !matches!(faults.status, 204 | 304) {
-        bytes.extend_from_slice(body.as_bytes());
+    /// Header line of a server that leaves; empty if it stays.
+    fn leaving_header(self) -> String {
+        if self.faults.is_leaving {
+            format!("{}: 1\r\n", http_headers::LEAVING)
+        } else {
+            String::new()
+        }
     }
-    bytes
-}
 
-/// Response without a length, whose body ends only when the connection closes.
-pub(super) fn unframed(request: &ParsedRequest) -> Vec<u8> {
-    let headers = format!("{}connection: close\r\n", signature_header(request));
-    format!(
-        "{}half of an ans",
-        response_head("200 OK", request, &headers)
-    )
-    .into_bytes()
-}
+    /// Header line with a rate limit; empty if there is none.
+    fn limit_header(self) -> String {
+        let limit_per_s = self.faults.limit_per_s;
+        if limit_per_s > 0.0 {
+            format!("{}: {limit_per_s}\r\n", http_headers::RATE_LIMIT)
+        } else {
+            String::new()
+        }
+    }
 
-/// Start of a response whose head, body or first event does not end.
-pub(super) fn endless_start(request: &ParsedRequest, fault: ServerFault) -> Vec<u8> {
-    let signature = signature_header(request);
-    let (headers, start) = match fault {
-        ServerFault::EndlessEvent => {
-            let headers = format!("{signature}content-type: text/event-stream\r\n");
-            (headers, "id: 1\ndata: ")
+    /// Header line with the time that the client is asked to wait; empty if there is none.
+    fn retry_after_header(self) -> String {
+        let retry_after_s = self.faults.retry_after_s;
+        if retry_after_s > 0.0 {
+            format!("{RETRY_AFTER}: {retry_after_s}\r\n")
+        } else {
+            String::new()
         }
-        _ => (signature, ""),
-    };
-    let mut head = response_head("200 OK", request, &headers);
-    if fault == ServerFault::EndlessHead {
-        // The blank line that ends the head is left out.
-        head.truncate(head.len() - 2);
-        head.push_str("endless: ");
     }
-    format!("{head}{start}").into_bytes()
-}
 
-/// Response that states that the request was not executed.
-pub(super) fn not_executed(request: &ParsedRequest) -> Vec<u8> {
-    let headers = format!("{}: 1\r\ncontent-length: 0\r\n", http_headers::NOT_RUN);
-    response_head("503 Service Unavailable", request, &headers).into_bytes()
-}
+    /// Complete response whose body contains the request ID.
+    pub(super) fn complete(self, load: [u32; 3]) -> Vec<u8> {
+        let body = format!("answer to {}", self.request.request_id);
+        let [running, waiting, slots] = load;
+        let headers = format!(
+            "{}{}{}: {running},{waiting},{slots}\r\n{}",
+            self.signature_header(),
+            self.limit_header(),
+            http_headers::LOAD,
+            self.faults.framing.plain_headers(body.len()),
+        );
+        let status = match self.faults.status {
+            0 | 200 => "200 OK".to_owned(),
+            status => format!("{status} Status"),
+        };
+        let mut bytes = self.head(&status, &headers).into_bytes();
+        if self.request.method != "HEAD" && !matches!(self.faults.status, 204 | 304) {
+            bytes.extend_from_slice(body.as_bytes());
+        }
+        bytes
+    }
 
-/// Response to a request that is addressed to another server.
-pub(super) fn misdirected(request: &ParsedRequest) -> Vec<u8> {
-    response_head("421 Misdirected Request", request, "content-length: 0\r\n").into_bytes()
-}
+    /// Response without a length, whose body ends only when the connection closes.
+    pub(super) fn unframed(self) -> Vec<u8> {
+        let headers = format!("{}connection: close\r\n", self.signature_header());
+        format!("{}half of an ans", self.head("200 OK", &headers)).into_bytes()
+    }
 
-/// Response to a request that was executed and failed.
-pub(super) fn failed(request: &ParsedRequest) -> Vec<u8> {
-    let headers = format!("{}content-length: 0\r\n", signature_header(request));
-    response_head("500 Internal Server Error", request, &headers).into_bytes()
-}
+    /// Start of a response whose head, body or first event does not end.
+    pub(super) fn endless_start(self, fault: ServerFault) -> Vec<u8> {
+        let signature = self.signature_header();
+        let (headers, start) = match fault {
+            ServerFault::EndlessEvent => {
+                let headers = format!("{signature}content-type: text/event-stream\r\n");
+                (headers, "id: 1\ndata: ")
+            }
+            _ => (signature, ""),
+        };
+        let mut head = self.head("200 OK", &headers);
+        if fault == ServerFault::EndlessHead {
+            // The blank line that ends the head is left out.
+            head.truncate(head.len() - 2);
+            head.push_str("endless: ");
+        }
+        format!("{head}{start}").into_bytes()
+    }
+
+    /// Response that states that the request was not executed.
+    pub(super) fn not_executed(self) -> Vec<u8> {
+        let headers = format!(
+            "{}: 1\r\n{}content-length: 0\r\n",
+            http_headers::NOT_RUN,
+            self.retry_after_header(),
+        );
+        self.head("503 Service Unavailable", &headers).into_bytes()
+    }
+
+    /// Response to a request that is addressed to another server.
+    pub(super) fn misdirected(self) -> Vec<u8> {
+        self.head("421 Misdirected Request", "content-length: 0\r\n")
+            .into_bytes()
+    }
 
-/// Status line and headers of an event stream.
-pub(super) fn stream_head(request: &ParsedRequest, faults: &ServerFaults) -> Vec<u8> {
-    let headers = format!(
-        "{}{}content-type: text/event-stream\r\n{}",
-        signature_header(request),
-        limit_header(faults.limit_per_s),
-        faults.framing.stream_headers(),
-    );
-    response_head("200 OK", request, &headers).into_bytes()
+    /// Response to a request that was executed and failed.
+    pub(super) fn failed(self) -> Vec<u8> {
+        let headers = format!("{}content-length: 0\r\n", self.signature_header());
+        self.head("500 Internal Server Error", &headers)
+            .into_bytes()
+    }
+
+    /// Status line and headers of an event stream.
+    pub(super) fn stream_head(self) -> Vec<u8> {
+        let headers = format!(
+            "{}{}content-type: text/event-stream\r\n{}",
+            self.signature_header(),
+            self.limit_header(),
+            self.faults.framing.stream_headers(),
+        );
+        self.head("200 OK", &headers).into_bytes()
+    }
 }
 
 /// Event of a stream.
--- a/crates/verbenahinge-emulator/src/scripted_server/server_faults.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/server_faults.rs
@@ -20,6 +20,12 @@
     pub events: u64,
     /// Rate limit that responses name, in requests per second; 0 means none.
     pub limit_per_s: f64,
+    /// Whether all responses say that the server leaves.
+    pub is_leaving: bool,
+    /// Time that rejections ask the client to wait, in seconds; 0 means that they do not.
+    pub retry_after_s: f64,
+    /// Time before each rejection, in milliseconds.
+    pub reject_delay_ms: u64,
     /// How a complete response, or one that is cut off, tells its end.
     pub framing: Framing,
     /// Status of plain responses; 0 means 200. Responses with 204 or 304 have no body.
--- a/crates/verbenahinge-testkit/src/gateway_fleet/emulators.rs
+++ b/crates/verbenahinge-testkit/src/gateway_fleet/emulators.rs
@@ -16,7 +16,9 @@
 use tokio::net::TcpStream;
 use verbenahinge_core::gateway::ServerEntry;
 use verbenahinge_emulator::registry_store::{self, StoreFaults};
-use verbenahinge_emulator::scripted_server::{self, ExecutedRequest, ServerFault, ServerFaults};
+use verbenahinge_emulator::scripted_server::{
+    self, Arrival, ExecutedRequest, ServerFault, ServerFaults,
+};
 use verbenahinge_platform::registry;
 use verbenahinge_platform::store::{
     CONFIG_KEY, OPERATOR_TABLE, READ_PATH, RowJson, RowsJson, SERVER_TABLE, TransactionJson,
@@ -207,6 +209,12 @@
         get_json(address, scripted_server::RUNS_PATH).await
     }
 
+    /// Requests that have reached a server, also those that it rejected.
+    pub async fn arrivals(&self, server: usize) -> Vec<Arrival> {
+        let address = self.servers[server].process.address();
+        get_json(address, scripted_server::ARRIVALS_PATH).await
+    }
+
     /// Runs of one request on all servers.
     pub async fn runs_of_request(&self, request: &str) -> Vec<ExecutedRequest> {
         let mut matching_runs = Vec::new();
--- a/crates/verbenahinge-testkit/src/process.rs
+++ b/crates/verbenahinge-testkit/src/process.rs
@@ -12,11 +12,11 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 
-/// Attempts to connect to a starting process.
-const CONNECT_ATTEMPTS: u32 = 400;
+/// Looks for a change of a process, such as that it accepts connections.
+const POLL_ATTEMPTS: u32 = 400;
 
-/// Interval between two connection attempts.
-const CONNECT_INTERVAL: Duration = Duration::from_millis(25);
+/// Interval between two looks.
+const POLL_INTERVAL: Duration = Duration::from_millis(25);
 
 /// A child process that is killed on drop.
 #[derive(Debug)]
@@ -124,7 +124,7 @@
     }
 
     fn wait_until_listening(&mut self) {
-        for _ in 0..CONNECT_ATTEMPTS {
+        for _ in 0..POLL_ATTEMPTS {
             let has_exited = self.has_exited();
             assert!(
                 !has_exited,
@@ -134,7 +134,7 @@
             if TcpStream::connect(self.address).is_ok() {
                 return;
             }
-            std::thread::sleep(CONNECT_INTERVAL);
+            std::thread::sleep(POLL_INTERVAL);
         }
         panic!(
             "{:?} does not accept connections at {}",
@@ -165,15 +165,20 @@
     /// Panics if the kernel does not tell.
     #[must_use]
     pub fn peak_memory_bytes(&self) -> u64 {
-        let path = format!("/proc/{}/status", self.child.id());
-        let status = std::fs::read_to_string(path).expect("failed to read the process status");
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let kib = line.and_then(|line| line.trim().strip_suffix(" kB"));
+        let peak = self.status_field("VmHWM:");
+        let kib = peak.strip_suffix(" kB");
         kib.and_then(|kib| kib.parse::<u64>().ok())
             .expect("the process status has no peak of memory")
             * 1024
     }
 
+    fn status_field(&self, name: &str) -> String {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("failed to read the process status");
+        let field = status.lines().find_map(|line| line.strip_prefix(name));
+        field.unwrap_or_default().trim().to_owned()
+    }
+
     /// Sends SIGTERM, which requests a shutdown.
     pub fn terminate(&self) {
         self.signal(Signal::TERM);
@@ -189,6 +194,23 @@
         self.signal(Signal::STOP);
     }
 
+    /// Suspends the process and waits until the kernel has stopped it, so that it handles nothing that
+    /// arrives from then on.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it is not stopped in time.
+    pub fn suspend_fully(&self) {
+        self.suspend();
+        for _ in 0..POLL_ATTEMPTS {
+            if self.status_field("State:").starts_with('T') {
+                return;
+            }
+            std::thread::sleep(POLL_INTERVAL);
+        }
+        panic!("{:?} was not suspended", self.args);
+    }
+
     /// Sends SIGCONT, which resumes a suspended process.
     pub fn resume(&self) {
         self.signal(Signal::CONT);
--- a/crates/verbenahinge/src/event_log.rs
+++ b/crates/verbenahinge/src/event_log.rs
@@ -66,6 +66,10 @@
     CrashSuspectCleared = 406,
     /// A backend server named a limit for its requests, or stopped naming one.
     ServerLimited = 407,
+    /// A backend server said in an answer that it leaves.
+    ServerLeaving = 410,
+    /// A backend server named a time in which it wants no requests from this VM.
+    ServerPaused = 411,
     /// A request or a prompt part is blamed for crashes of servers.
     CrashBlamed = 420,
     /// A request or a prompt part is no longer blamed for crashes.
--- a/crates/verbenahinge/src/gateway/attempt.rs
+++ b/crates/verbenahinge/src/gateway/attempt.rs
@@ -1,5 +1,6 @@
 //! A single attempt to send a request to a backend server.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,7 +9,9 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
-use verbenahinge_core::gateway::{Call, RouteKind, ServerChoice};
+use verbenahinge_core::gateway::{
+    Call, RouteKind, ServerChoice, ServerEntry, ServerStart, ServerState,
+};
 use verbenahinge_core::{FailureKind, ServerName, Timestamp};
 use verbenahinge_platform::http_headers::{self, ForwardHeaders, ServerHeaders};
 
@@ -111,15 +114,9 @@
             let routing = state.routing();
             routing.map_or(usize::from(priority), |routing| routing.rank_of(priority))
         });
-        let (entry, copy_from) = {
-            let state = self.state.borrow();
-            let source = choice.copy_from.as_ref();
-            let source = source.and_then(|source| state.registry().get(source));
-            let entry = state.registry().get(server).cloned();
-            (entry, source.map(|entry| entry.address))
-        };
+        let entry = self.state.borrow().registry().usable(server).cloned();
         let Some(entry) = entry else {
-            return Err(failed(FailureKind::ConnectFailed));
+            return Err(failed(FailureKind::NotSent));
         };
         // The server may have closed a reused connection before the request was written; a new
         // connection is opened in that case.
@@ -131,6 +128,9 @@
                 self.connections.acquire(server, entry.address).await
             };
             let mut connection = acquired.map_err(|_| failed(FailureKind::ConnectFailed))?;
+            if !self.state.borrow().may_send_to(self.now(), &entry) {
+                return Err(failed(FailureKind::NotSent));
+            }
             let time_left = call.time_left(self.now());
             if time_left.is_zero() {
                 return Err(AttemptError::TimeUp);
@@ -140,7 +140,7 @@
                 server,
                 account: call.account.as_ref().map(|account| &*account.name),
                 priority,
-                copy_from,
+                copy_from: self.copy_source(choice),
                 last_event,
             };
             let mut outgoing = Request::new(Full::new(request.body.clone()));
@@ -176,7 +176,7 @@
             };
             let (parts, body) = response.into_parts();
             let head = http_headers::decode_server_response(parts.status.as_u16(), &parts.headers);
-            self.record_head(server, sent_at, &head);
+            self.record_head(&entry, sent_at, &head);
             check_request_id(request, &head)?;
             return Ok(OpenResponse {
                 status: parts.status,
@@ -188,8 +188,25 @@
         }
     }
 
-    fn record_head(self: &Rc<Self>, server: &ServerName, sent_at: Timestamp, head: &ServerHeaders) {
+    /// Address of the engine that prefilled prompt parts are copied from, if it still takes requests.
+    fn copy_source(&self, choice: &ServerChoice) -> Option<SocketAddr> {
+        let state = self.state.borrow();
+        let entry = state.registry().usable(choice.copy_from.as_ref()?)?;
+        let is_paused = state.pause_left(self.now(), entry).is_some();
+        (!is_paused).then_some(entry.address)
+    }
+
+    /// Records what the head of a response says of the server; `entry` is the one by which the request
+    /// was sent.
+    fn record_head(self: &Rc<Self>, entry: &ServerEntry, sent_at: Timestamp, head: &ServerHeaders) {
         let now = self.now();
+        let server = &entry.id;
+        if head.state == ServerState::Draining {
+            peers::note_leaving(self, &entry.start());
+        }
+        if let Some(wait) = head.retry_after {
+            self.record_pause(&entry.start(), wait);
+        }
         let mut state = self.state.borrow_mut();
         state.note_progress(now, server);
         if let Some(load) = head.load {
@@ -208,6 +225,14 @@
         }
     }
 
+    fn record_pause(&self, start: &ServerStart, wait: Duration) {
+        let begins = self.state.borrow_mut().note_pause(self.now(), start, wait);
+        if begins {
+            LogEvent::ServerPaused
+                .log(&[("server", &start.server), ("wait_ms", &wait.as_millis())]);
+        }
+    }
+
     async fn read_body(&self, mut body: Incoming) -> Result<Bytes, AttemptError> {
         let mut buffer = ResponseBuffer::new(&self.response_memory);
         while let Some(frame) = body.frame().await {
--- a/crates/verbenahinge/src/gateway/peer_message.rs
+++ b/crates/verbenahinge/src/gateway/peer_message.rs
@@ -3,6 +3,7 @@
 
 mod crash_message;
 mod feed_message;
+mod leaving_message;
 mod limit_message;
 
 use std::collections::BTreeMap;
@@ -15,6 +16,7 @@
 
 pub(super) use self::crash_message::CrashMessage;
 pub(super) use self::feed_message::{DeltaMessage, FeedMessage, feed_from_number, feed_number};
+pub(super) use self::leaving_message::LeavingMessage;
 pub(super) use self::limit_message::LimitMessage;
 
 /// Purpose of a message to another VM; the metrics use it as a label.
@@ -41,6 +43,8 @@
     Crash,
     /// Limit of a server that has begun, ended or changed.
     Limit,
+    /// Server that has said in an answer that it leaves.
+    Leaving,
     /// Query for a permit to send a request to a limited server.
     PermitQuery,
     /// Reply to a permit query.
@@ -65,6 +69,9 @@
     /// Rate limits of servers as the sender knows them.
     #[prost(message, repeated, tag = "15")]
     pub(super) limits: Vec<LimitMessage>,
+    /// Servers that have said in an answer to the sender that they leave.
+    #[prost(message, repeated, tag = "21")]
+    pub(super) leaving: Vec<LeavingMessage>,
     /// Versions of the sender's replicas.
     #[prost(message, repeated, tag = "8")]
     pub(super) feeds: Vec<FeedMessage>,
--- a/crates/verbenahinge/src/gateway/peers.rs
+++ b/crates/verbenahinge/src/gateway/peers.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod feeds;
+mod leaving;
 mod load;
 mod permits;
 
@@ -26,6 +27,8 @@
     FetchPatience, TableRefusal, encode_feed, fetch_delta, fetch_feed, push_change,
 };
 use self::feeds::{feed_versions, handle_feed};
+use self::leaving::handle_leaving;
+pub(super) use self::leaving::note_leaving;
 use self::load::{PendingQuery, handle_query_or_reply, send_to_aggregators};
 pub(super) use self::load::{query_load, send_load};
 use self::permits::handle_permit;
@@ -274,6 +277,7 @@
         .state
         .borrow_mut()
         .apply_limit_reports(now, message.vm, &reports);
+    handle_leaving(gateway, from, &message.leaving);
     if message.permit_server > 0 {
         handle_permit(gateway, from, &message);
     } else if message.query_id > 0 {
--- a/crates/verbenahinge/src/gateway/request_handler.rs
+++ b/crates/verbenahinge/src/gateway/request_handler.rs
@@ -129,9 +129,20 @@
             let mut state = self.gateway.state.borrow_mut();
             state.rank_engines(now, &self.call, excluded, MAX_QUERIED_SERVERS)
         };
+        if ranked.is_empty() {
+            let mut state = self.gateway.state.borrow_mut();
+            return Err(state.refuse_unplaced(now, &self.call));
+        }
         peers::query_load(&self.gateway, &ranked, &self.call).await;
-        let state = self.gateway.state.borrow();
-        state.choose_among(self.gateway.now(), &self.call, &ranked)
+        let now = self.gateway.now();
+        let mut state = self.gateway.state.borrow_mut();
+        match state.choose_among(now, &self.call, &ranked) {
+            // The ranked servers have left or paused in the meantime.
+            Err(PlacementError::NoServer | PlacementError::Limited(_)) => {
+                state.choose_server(now, &self.call, excluded)
+            }
+            choice => choice,
+        }
     }
 
     /// Records the start of an attempt at the chosen server.
--- a/crates/verbenahinge/src/gateway/request_handler/attempts.rs
+++ b/crates/verbenahinge/src/gateway/request_handler/attempts.rs
@@ -18,6 +18,9 @@
 /// Failure of a server that has answered.
 const SERVER_ERROR: AttemptError = AttemptError::Failed(FailureKind::ServerError);
 
+/// Failure of an attempt that has not begun.
+const NOT_SENT: AttemptError = AttemptError::Failed(FailureKind::NotSent);
+
 /// How a request continues after a failed attempt.
 pub(crate) enum RetryDecision {
     /// Try another server.
@@ -61,6 +64,10 @@
         let AttemptError::Failed(kind) = error else {
             return RetryDecision::GiveUp(error);
         };
+        if kind == FailureKind::NotSent && self.response_deadline() > self.gateway.now() {
+            // The attempt that was allowed has not been made yet.
+            return RetryDecision::Retry;
+        }
         match self.try_spend_retry(kind) {
             Ok(()) => RetryDecision::Retry,
             Err(_) => RetryDecision::GiveUp(error),
@@ -74,7 +81,7 @@
             return;
         };
         self.verdict = self.verdict.combine(kind.verdict());
-        if kind == FailureKind::ConnectFailed {
+        if matches!(kind, FailureKind::ConnectFailed | FailureKind::NotSent) {
             self.attempt_count = self.attempt_count.saturating_sub(1);
         }
         LogEvent::AttemptFailed.log(&[
@@ -84,7 +91,9 @@
             ("attempt", &self.attempt_count),
             ("after_ms", &self.elapsed_ms()),
         ]);
-        self.note_server_failure(server, kind);
+        if kind != FailureKind::NotSent {
+            self.note_server_failure(server, kind);
+        }
         if kind == FailureKind::ConnectionLost {
             self.note_lost_connection(server);
         }
@@ -154,12 +163,13 @@
         let gateway = Rc::clone(&self.gateway);
         // Response of a server to forward if no other server is found.
         let mut last_response = None;
+        let mut is_retry_spent = !self.tried_servers.is_empty();
         loop {
             if needs_attempt {
                 match self.select_server().await {
                     Ok(choice) => race.push(start(self, &choice)),
                     Err(reason) => {
-                        self.note_unplaced(reason);
+                        self.note_unplaced(reason, is_retry_spent);
                         if race.is_empty() {
                             return Err(last_response.map_or(Unserved::Unplaced(reason), |last| {
                                 Unserved::Failed(SERVER_ERROR, Some(last))
@@ -175,10 +185,12 @@
                     is_repeated: true, ..
                 } => {
                     needs_attempt = self.try_spend_retry(FailureKind::Silent).is_ok();
+                    is_retry_spent = needs_attempt;
                     continue;
                 }
                 RaceEvent::Silent { server, .. } => {
                     needs_attempt = self.handle_silence(&server);
+                    is_retry_spent = needs_attempt;
                     continue;
                 }
             };
@@ -208,6 +220,7 @@
             match self.handle_failure(&server, error) {
                 RetryDecision::Retry => {
                     needs_attempt = true;
+                    is_retry_spent |= error != NOT_SENT;
                     last_response = output.filter(|_| error == SERVER_ERROR);
                 }
                 RetryDecision::GiveUp(AttemptError::Failed(_)) if !race.is_empty() => {
@@ -231,11 +244,13 @@
 
     /// Records that no server was found for a retry; the final response tells why there was none for a
     /// first attempt.
-    fn note_unplaced(&self, reason: PlacementError) {
+    fn note_unplaced(&self, reason: PlacementError, is_retry_spent: bool) {
         if self.tried_servers.is_empty() {
             return;
         }
-        self.gateway.state.borrow_mut().refund_retry(&self.call);
+        if is_retry_spent {
+            self.gateway.state.borrow_mut().refund_retry(&self.call);
+        }
         LogEvent::RetryUnplaced.log(&[
             ("request_id", &self.log_id()),
             ("reason", &format!("{reason:?}")),
--- a/crates/verbenahinge/src/gateway/request_handler/final_response.rs
+++ b/crates/verbenahinge/src/gateway/request_handler/final_response.rs
@@ -82,8 +82,11 @@
             AttemptError::TimeUp => "time_up".to_owned(),
         };
         if self.verdict == Verdict::NotRun {
-            let time_left = self.call.time_left(self.gateway.now());
-            let delay = retry_after(RETRY_AFTER_MIN, time_left, self.call.id);
+            let now = self.gateway.now();
+            let pause = self.gateway.state.borrow().service_pause(now, &self.call);
+            let time_left = self.call.time_left(now);
+            let excess = pause.unwrap_or(RETRY_AFTER_MIN).min(time_left);
+            let delay = retry_after(excess, time_left, self.call.id);
             return self.respond_with_error(StatusCode::SERVICE_UNAVAILABLE, Some(delay), &cause);
         }
         let status = match error {
--- a/crates/verbenahinge/tests/fault_soak.rs
+++ b/crates/verbenahinge/tests/fault_soak.rs
@@ -8,12 +8,16 @@
 mod callers;
 #[path = "fault_soak/deadly.rs"]
 mod deadly;
+#[path = "fault_soak/departures.rs"]
+mod departures;
 #[path = "fault_soak/disturbances.rs"]
 mod disturbances;
 #[path = "fault_soak/fleet.rs"]
 mod fleet;
 #[path = "fault_soak/later_faults.rs"]
 mod later_faults;
+#[path = "fault_soak/pauses.rs"]
+mod pauses;
 #[path = "fault_soak/rng.rs"]
 mod rng;
 
@@ -29,7 +33,9 @@
 use verbenahinge_testkit::{CallerConnection, GatewayRequest};
 
 use self::callers::{CallerContext, STREAM_EVENTS, find_violation, run_caller, run_idle_caller};
+use self::departures::{DEPARTURES, check_leaving, finish_departures, inject_departure};
 use self::fleet::{SERVER_COUNT, SoakFleet};
+use self::pauses::{PAUSES, check_pause, inject_pause};
 use self::rng::SeededRng;
 
 const REGRESSION_SEEDS: &str = include_str!("data/soak_seeds.txt");
@@ -83,6 +89,8 @@
     // Faults that were added later draw from numbers of their own, so that earlier seeds keep theirs.
     let extra_rng = SeededRng::new(seed ^ EXTRA_FAULTS);
     let later_rng = SeededRng::new(seed ^ LATER_FAULTS);
+    let departure_rng = SeededRng::new(seed ^ DEPARTURES);
+    let pause_rng = SeededRng::new(seed ^ PAUSES);
     let normal = ServerFaults {
         work_ms: 5 + rng.below(20),
         events: STREAM_EVENTS,
@@ -124,12 +132,16 @@
             fault_log.push(soak.roll_back_store(&extra_rng).await);
         }
         fault_log.extend(soak.inject_later_faults(&later_rng).await);
+        fault_log.extend(inject_departure(&mut soak, &departure_rng).await);
+        fault_log.extend(inject_pause(&soak, &pause_rng).await);
         actix_rt::time::sleep(Duration::from_millis(50 + rng.below(500))).await;
         soak.clear_faults(&rng, false).await;
         soak.restart_fragile_servers().await;
         soak.restart_brittle_engines().await;
+        finish_departures(&mut soak).await;
     }
     soak.clear_faults(&rng, true).await;
+    finish_departures(&mut soak).await;
     context.is_finished.set(true);
     join_all(callers).await;
     let mut violations = wait_for_recovery(&mut soak, seed).await;
@@ -137,6 +149,8 @@
     soak.finish_shutdowns().await;
     violations.extend(check_quarantine(&mut soak).await);
     violations.extend(deadly::check_refused(&mut soak).await);
+    violations.extend(check_leaving(&mut soak, seed, &departure_rng).await);
+    violations.extend(check_pause(&soak, seed, &pause_rng).await);
     violations.extend(check_limit(&soak, seed).await);
     violations.extend(check_departure(&mut soak, rng.index(SERVER_COUNT)).await);
     // Requests that were forwarded before their caller disconnected may still be running.
--- a/crates/verbenahinge/tests/fault_soak/fleet.rs
+++ b/crates/verbenahinge/tests/fault_soak/fleet.rs
@@ -1,7 +1,7 @@
 //! The processes of a seed and the faults injected into them.
 
 use std::cell::Cell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
@@ -63,7 +63,9 @@
     crash_entries: Vec<ServerEntry>,
     /// Starts of these servers so far, by which their entries differ.
     crash_starts: u64,
-    is_store_faulty: bool,
+    pub(crate) is_store_faulty: bool,
+    /// Servers that have said that they leave, and have not started again.
+    pub(crate) leaving: BTreeSet<usize>,
 }
 
 /// A configuration with timeouts of connections, and with normal or short ones of routes.
@@ -141,6 +143,7 @@
             crash_entries,
             crash_starts: 1,
             is_store_faulty: false,
+            leaving: BTreeSet::new(),
         }
     }
 
@@ -244,6 +247,13 @@
         self.is_store_faulty = false;
     }
 
+    /// Registers the next start of a server.
+    pub(crate) async fn register_next_start(&mut self, server: usize) {
+        let entry = &mut self.entries[server];
+        entry.started_unix_ms = entry.started_unix_ms.map(|started| started + 1);
+        self.fleet.register(entry).await;
+    }
+
     pub(crate) async fn write_config(&self) {
         let config = soak_config(self.config_version, self.limits_ms, self.has_short_routes);
         self.fleet.write_config(&config).await;
