test(gateway): requests that reach a VM before the answer that concerns them

request_sent_late, of servers that leave and of those that pause, suspended the VM for 600 ms. Since holds of the thread are known, a VM reads the answer before it chooses a server then, so that both passed whatever the last check before sending does. They now use the short suspension of unsent_request_given_up, in four trials each, from one support file.

--- a/crates/verbenahinge/tests/leaving_servers.rs
+++ b/crates/verbenahinge/tests/leaving_servers.rs
@@ -1,11 +1,15 @@
 //! A backend server says in its answers that it leaves, while its registry entry says that it is ready.
 
-use futures_util::future::{self, join_all};
+#[path = "support/late_requests.rs"]
+mod late_requests;
+
 use std::time::Duration;
 
 use verbenahinge_emulator::registry_store::StoreFaults;
 use verbenahinge_emulator::scripted_server::{ServerFault, ServerFaults};
-use verbenahinge_testkit::{CallerConnection, GatewayFleet, GatewayFleetOptions, GatewayRequest};
+use verbenahinge_testkit::{GatewayFleet, GatewayFleetOptions, GatewayRequest};
+
+use self::late_requests::{WORK_TIME, send_late};
 
 const BIN: &str = env!("CARGO_BIN_EXE_verbenahinge");
 const CONFIG: &str = include_str!("data/gateway.json");
@@ -17,6 +21,9 @@
 /// the answer behind them.
 const LATE_REQUESTS: usize = 4;
 
+/// Trials with requests that reach a VM while it is suspended: which socket it reads first is a race.
+const TRIALS: usize = 4;
+
 async fn start(vms: u8, servers: usize) -> GatewayFleet {
     let options = GatewayFleetOptions::new(CONFIG).vms(vms).servers(servers);
     GatewayFleet::start(BIN, options).await
@@ -85,91 +92,36 @@
     }
 }
 
-/// Time for which a server works on the first request.
-const WORK_TIME: Duration = Duration::from_millis(300);
-
-/// Time from the start of the first request at its server in which the VM is suspended.
-struct Suspension {
-    start: Duration,
-    end: Duration,
-}
-
-/// Lets a request run at server 0, whose answer says that it leaves, and others reach the VM while it is
-/// suspended, before the answer does; returns the statuses of the others.
-async fn send_late(
-    fleet: &mut GatewayFleet,
-    late_requests: usize,
-    suspension: Suspension,
-) -> Vec<u16> {
-    let faults = ServerFaults {
-        work_ms: 300,
+/// Faults of a server whose answer to the first request says that it leaves.
+fn leaving_late() -> ServerFaults {
+    ServerFaults {
+        work_ms: u64::try_from(WORK_TIME.as_millis()).expect("a short time"),
         events: 1,
         ..leaving(ServerFault::None)
-    };
-    fleet.set_server_faults(0, &faults).await;
-    let address = fleet.listen_address(0);
-    let mut callers = Vec::new();
-    for _ in 0..late_requests {
-        let opened = CallerConnection::open(address).await;
-        callers.push(opened.expect("a connection"));
-    }
-    let first = actix_rt::spawn(async move {
-        let mut caller = CallerConnection::open(address).await.expect("a connection");
-        let request = GatewayRequest::new("first", "/single/x").prompt(1, 2);
-        caller.call(&request).await.expect("a response").status
-    });
-    while fleet.arrivals(0).await.is_empty() {
-        actix_rt::time::sleep(Duration::from_millis(5)).await;
     }
-    actix_rt::time::sleep(suspension.start).await;
-    fleet.vm_process(0).suspend_fully();
-    let mut late = Vec::new();
-    for (count, caller) in callers.iter_mut().enumerate() {
-        late.push(async move {
-            let request = GatewayRequest::new(format!("late-{count}"), "/once/x");
-            caller.call(&request).await.expect("a response").status
-        });
-    }
-    let resume = async {
-        actix_rt::time::sleep(suspension.end.saturating_sub(suspension.start)).await;
-        fleet.vm_process(0).resume();
-    };
-    let (statuses, ()) = future::join(join_all(late), resume).await;
-    assert_eq!(first.await.expect("the first request"), 200);
-    statuses
 }
 
 /// Guards against a request that chose a server before it said that it leaves, and is sent after.
 #[actix_rt::test]
 async fn request_sent_late() {
-    let mut fleet = start(1, 1).await;
-    let suspension = Suspension {
-        start: Duration::ZERO,
-        end: WORK_TIME * 2,
-    };
-    let statuses = send_late(&mut fleet, LATE_REQUESTS, suspension).await;
-    let arrivals = fleet.arrivals(0).await;
-    let arrived: Vec<&str> = arrivals
-        .iter()
-        .map(|arrival| arrival.request_id.as_str())
-        .collect();
-    assert_eq!(arrived, ["first"]);
-    assert_eq!(statuses, [503; LATE_REQUESTS]);
+    for _ in 0..TRIALS {
+        let mut fleet = start(1, 1).await;
+        fleet.set_server_faults(0, &leaving_late()).await;
+        let (first, late) = send_late(&mut fleet, LATE_REQUESTS, "/once/x").await;
+        assert_eq!((first, late), (200, vec![503; LATE_REQUESTS]));
+        assert_eq!(fleet.arrivals(0).await.len(), 1);
+    }
 }
 
 /// Guards against a request that is refused, or loses an attempt, because it was not sent to a server
 /// that leaves.
 #[actix_rt::test]
 async fn unsent_request_given_up() {
-    /// The answer has to arrive within a suspension that is too short to count as a hold, after which a VM
-    /// would read it before it chooses a server.
+    /// Trials until a request has chosen the server before the answer is read.
     const MAX_TRIALS: usize = 40;
-    let suspension = || Suspension {
-        start: WORK_TIME.mul_f64(0.9),
-        end: WORK_TIME.mul_f64(1.15),
-    };
     for _ in 0..MAX_TRIALS {
         let mut fleet = start(1, 2).await;
+        fleet.set_server_faults(0, &leaving_late()).await;
         // The other server is chosen second: it is far away and has just started.
         let mut entry = fleet.server_entry(1);
         entry.availability_zone = "b".into();
@@ -178,7 +130,7 @@
         fleet
             .wait_for_log(0, "server=server-1 change=updated")
             .await;
-        assert_eq!(send_late(&mut fleet, 1, suspension()).await, [200]);
+        assert_eq!(send_late(&mut fleet, 1, "/once/x").await, (200, vec![200]));
         let ended = "name=request_ended request_id=late-0";
         let line = fleet.wait_for_log_after(0, 0, ended).await;
         assert!(line.contains("attempts=1 "), "{line}");
@@ -270,7 +222,7 @@
         fleet.register(&entry).await;
         fleet.wait_for_log(0, "change=restarted").await;
     };
-    let (response, ()) = future::join(late, restart).await;
+    let (response, ()) = tokio::join!(late, restart);
     assert!(response.headers.contains_key("server-leaving"));
     fleet.set_server_fault(0, ServerFault::None, 0).await;
     let request = GatewayRequest::new("next", "/read/x");
--- a/crates/verbenahinge/tests/server_pauses.rs
+++ b/crates/verbenahinge/tests/server_pauses.rs
@@ -1,10 +1,15 @@
 //! A backend server rejects a request and names a time in which it wants nothing from the VM.
 
+#[path = "support/late_requests.rs"]
+mod late_requests;
+
 use std::time::{Duration, Instant};
 
-use futures_util::future::{self, join_all};
+use futures_util::future::join_all;
 use verbenahinge_emulator::scripted_server::{ServerFault, ServerFaults};
-use verbenahinge_testkit::{CallerConnection, GatewayFleet, GatewayFleetOptions, GatewayRequest};
+use verbenahinge_testkit::{GatewayFleet, GatewayFleetOptions, GatewayRequest};
+
+use self::late_requests::{WORK_TIME, send_late};
 
 const BIN: &str = env!("CARGO_BIN_EXE_verbenahinge");
 const CONFIG: &str = include_str!("data/gateway.json");
@@ -25,6 +30,9 @@
 /// the answer behind them.
 const LATE_REQUESTS: usize = 4;
 
+/// Trials with requests that reach a VM while it is suspended: which socket it reads first is a race.
+const TRIALS: usize = 4;
+
 async fn start(vms: u8, servers: usize) -> GatewayFleet {
     let options = GatewayFleetOptions::new(CONFIG).vms(vms).servers(servers);
     GatewayFleet::start(BIN, options).await
@@ -174,46 +182,15 @@
 /// Guards against a request that chose a server before it named a time, and is sent in it.
 #[actix_rt::test]
 async fn request_sent_late() {
-    let mut fleet = start(1, 1).await;
-    let faults = ServerFaults {
-        reject_delay_ms: 300,
-        ..rejecting(600.0)
-    };
-    fleet.set_server_faults(0, &faults).await;
-    let address = fleet.listen_address(0);
-    let mut callers = Vec::new();
-    for _ in 0..LATE_REQUESTS {
-        let opened = CallerConnection::open(address).await;
-        callers.push(opened.expect("a connection"));
+    for _ in 0..TRIALS {
+        let mut fleet = start(1, 1).await;
+        let faults = ServerFaults {
+            reject_delay_ms: u64::try_from(WORK_TIME.as_millis()).expect("a short time"),
+            ..rejecting(600.0)
+        };
+        fleet.set_server_faults(0, &faults).await;
+        let (first, late) = send_late(&mut fleet, LATE_REQUESTS, "/read/x").await;
+        assert_eq!((first, late), (503, vec![503; LATE_REQUESTS]));
+        assert_eq!(fleet.arrivals(0).await.len(), 1);
     }
-    let first = actix_rt::spawn(async move {
-        let mut caller = CallerConnection::open(address).await.expect("a connection");
-        let request = GatewayRequest::new("first", "/single/x").prompt(1, 2);
-        caller.call(&request).await.expect("a response").status
-    });
-    while fleet.arrivals(0).await.is_empty() {
-        actix_rt::time::sleep(Duration::from_millis(5)).await;
-    }
-    // While the VM is suspended, the late requests reach its sockets before the first answer does.
-    fleet.vm_process(0).suspend_fully();
-    let mut late = Vec::new();
-    for (count, caller) in callers.iter_mut().enumerate() {
-        late.push(async move {
-            let request = GatewayRequest::new(format!("late-{count}"), "/read/x");
-            caller.call(&request).await.expect("a response").status
-        });
-    }
-    let resume = async {
-        actix_rt::time::sleep(Duration::from_millis(600)).await;
-        fleet.vm_process(0).resume();
-    };
-    let (statuses, ()) = future::join(join_all(late), resume).await;
-    assert_eq!(first.await.expect("the first request"), 503);
-    let arrivals = fleet.arrivals(0).await;
-    let arrived: Vec<&str> = arrivals
-        .iter()
-        .map(|arrival| arrival.request_id.as_str())
-        .collect();
-    assert_eq!(arrived, ["first"]);
-    assert_eq!(statuses, [503; LATE_REQUESTS]);
 }
