fix(gateway): a server that is cut off is not taken for a crashed one

Callers saw: requests refused for ten minutes (503) after two servers lost their connections and could then not be reached, though neither had crashed.

Cause: the check for a crash took every connect error but a reset for a crash: a connect that timed out, no route, and errors of the VM itself, such as too many open files.

Evidence: false_crashes::cut_off_server_crashed resets the connection of a request while the queue of its server's listener is full.

Why it works: the host of a crashed server refuses a connection. Not found any more: a crash after which the address does not answer at all, which the check cannot tell from a cut.

--- a/crates/verbenahinge/src/gateway/crash_check.rs
+++ b/crates/verbenahinge/src/gateway/crash_check.rs
@@ -129,8 +129,8 @@
     outcome
 }
 
-/// A crashed server refuses a new connection, while one that only lost a connection accepts it, even if
-/// it resets that one too.
+/// A crashed server refuses a new connection. One that is cut off or overloaded lets it time out or
+/// resets it, and errors of this VM tell nothing.
 async fn refuses_connections(gateway: &Gateway, server: &ServerName) -> bool {
     actix_rt::time::sleep(CRASH_CHECK_DELAY).await;
     let address = {
@@ -146,10 +146,9 @@
             connection.release(None, false);
             false
         }
-        Err(error) if error.kind() == io::ErrorKind::ConnectionReset => false,
         Err(error) => {
             log::debug!("server {server} accepts no connection: {error}");
-            true
+            error.kind() == io::ErrorKind::ConnectionRefused
         }
     }
 }
--- a/crates/verbenahinge/tests/false_crashes.rs
+++ b/crates/verbenahinge/tests/false_crashes.rs
@@ -3,6 +3,9 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use verbenahinge_core::gateway::ServerEntry;
 use verbenahinge_emulator::scripted_server::ServerFault;
 use verbenahinge_testkit::{GatewayFleet, GatewayFleetOptions, GatewayRequest, LinkFault, Proxy};
 
@@ -12,6 +15,12 @@
 /// Whether a reset is seen when a connection is opened or only after that is a race.
 const ROUNDS: usize = 8;
 
+/// Time after which a check of a server for a crash has ended.
+const CHECKED: Duration = Duration::from_secs(1);
+
+/// Time in which a loopback listener accepts a connection unless its queue is full.
+const ACCEPT_TIME: Duration = Duration::from_millis(100);
+
 /// Guards against a request that is refused because connections to its servers were reset, and new ones
 /// too once they were open.
 #[actix_rt::test]
@@ -67,3 +76,51 @@
     let request = GatewayRequest::new(format!("r{round}-after"), &path);
     fleet.wait_for_status(0, &request, 200).await;
 }
+
+/// Guards against a server that is cut off being taken for a crashed one: its connections break, and new
+/// ones time out.
+#[actix_rt::test]
+async fn cut_off_server_crashed() {
+    let options = GatewayFleetOptions::new(CONFIG).vms(1).servers(1);
+    let fleet = GatewayFleet::start(BIN, options).await;
+    let socket = TcpSocket::new_v4().expect("a socket");
+    let any_port = "127.0.0.1:0".parse().expect("an address");
+    socket.bind(any_port).expect("a free port");
+    let listener = socket.listen(1).expect("a listener");
+    let entry = ServerEntry {
+        address: listener.local_addr().expect("the local address"),
+        ..fleet.server_entry(0)
+    };
+    fleet.register(&entry).await;
+    let updated = format!("server={} change=updated", entry.id);
+    fleet.wait_for_log(0, &updated).await;
+    let request = GatewayRequest::new("r1", "/once/x");
+    let (response, _queue) = tokio::join!(fleet.call(0, &request), cut_off(&listener));
+    assert_eq!(response.status, 502);
+    actix_rt::time::sleep(CHECKED).await;
+    let log = fleet.read_log(0);
+    assert!(!log.contains("name=server_crashed"), "{log}");
+}
+
+/// Resets the connection of a request while the queue for new connections is full; returns what fills
+/// the queue.
+async fn cut_off(listener: &TcpListener) -> Vec<TcpStream> {
+    let mut others = Vec::new();
+    let connection = loop {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut head = [0; 64];
+        let read = actix_rt::time::timeout(ACCEPT_TIME, stream.read(&mut head)).await;
+        if read.is_ok() && head.starts_with(b"POST /once/x") {
+            break stream;
+        }
+        others.push(stream);
+    };
+    let address = listener.local_addr().expect("the local address");
+    while let Ok(Ok(stream)) =
+        actix_rt::time::timeout(ACCEPT_TIME, TcpStream::connect(address)).await
+    {
+        others.push(stream);
+    }
+    connection.set_zero_linger().expect("an open connection");
+    others
+}
