fix(gateway): a server that leaves is not taken for a crashed one

Callers saw: requests refused for ten minutes (503) after two servers that had announced that they leave ended while such a request was still running there.

Cause: the check for a crash knew a planned end only by a missing entry. The entry of a server that drains stays until the server has left, so that its end looked like a crash.

Evidence: false_crashes::leaving_server_crashed ends a draining server with a request in flight.

Why it works: a server that drains gets no new requests, so that nothing that it might tell about a crash saves another one, and the record of its end can only be held against what was running there last.

--- a/crates/verbenahinge/src/gateway/crash_check.rs
+++ b/crates/verbenahinge/src/gateway/crash_check.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use tokio::sync::Notify;
-use verbenahinge_core::gateway::{CrashRefusal, Suspect, SuspectScope};
+use verbenahinge_core::gateway::{CrashRefusal, ServerState, Suspect, SuspectScope};
 use verbenahinge_core::{CrashId, Fingerprint, ServerName, Timestamp};
 
 use super::{Gateway, crash_store, peers};
@@ -135,10 +135,12 @@
     actix_rt::time::sleep(CRASH_CHECK_DELAY).await;
     let address = {
         let state = gateway.state.borrow();
-        state.registry().get(server).map(|entry| entry.address)
+        let entry = state.registry().get(server);
+        let entry = entry.filter(|entry| entry.state != ServerState::Draining);
+        entry.map(|entry| entry.address)
     };
     let Some(address) = address else {
-        // An entry lapses seconds after a crash, so this server had left as planned.
+        // An entry lapses seconds after a crash, so this server has left as planned.
         return false;
     };
     match gateway.connections.connect(server, address).await {
--- a/crates/verbenahinge/tests/false_crashes.rs
+++ b/crates/verbenahinge/tests/false_crashes.rs
@@ -1,13 +1,15 @@
-//! Servers that are up but lose their connections are not taken for crashed ones.
+//! Servers that are up but lose their connections, or that leave, are not taken for crashed ones.
 
 use std::time::Duration;
 
 use futures_util::future::join_all;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use verbenahinge_core::gateway::ServerEntry;
+use verbenahinge_core::gateway::{ServerEntry, ServerState};
 use verbenahinge_emulator::scripted_server::ServerFault;
-use verbenahinge_testkit::{GatewayFleet, GatewayFleetOptions, GatewayRequest, LinkFault, Proxy};
+use verbenahinge_testkit::{
+    CallerConnection, GatewayFleet, GatewayFleetOptions, GatewayRequest, LinkFault, Proxy,
+};
 
 const BIN: &str = env!("CARGO_BIN_EXE_verbenahinge");
 const CONFIG: &str = include_str!("data/gateway.json");
@@ -124,3 +126,32 @@
     connection.set_zero_linger().expect("an open connection");
     others
 }
+
+/// Guards against a server that has left as planned being taken for a crashed one.
+#[actix_rt::test]
+async fn leaving_server_crashed() {
+    let options = GatewayFleetOptions::new(CONFIG).vms(1).servers(1);
+    let mut fleet = GatewayFleet::start(BIN, options).await;
+    fleet.set_server_fault(0, ServerFault::Silence, 0).await;
+    let request = GatewayRequest::new("r1", "/once/x").deadline_ms(5000);
+    let address = fleet.listen_address(0);
+    let call = actix_rt::spawn(async move {
+        let mut caller = CallerConnection::open(address).await.expect("a connection");
+        caller.call(&request).await.expect("a response").status
+    });
+    while fleet.runs_of_request("r1").await.is_empty() {
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+    let entry = ServerEntry {
+        state: ServerState::Draining,
+        ..fleet.server_entry(0)
+    };
+    fleet.register(&entry).await;
+    let draining = format!("server={} change=draining", entry.id);
+    fleet.wait_for_log(0, &draining).await;
+    fleet.server_process(0).kill();
+    assert_eq!(call.await.expect("the task ended"), 502);
+    actix_rt::time::sleep(CHECKED).await;
+    let log = fleet.read_log(0);
+    assert!(!log.contains("name=server_crashed"), "{log}");
+}
