fix(gateway): the end of a server that said in an answer that it leaves is no crash

Callers saw: as for a server that drains by its entry, requests refused after two planned exits. Cause: the check for crashes looked at the entry only, which is still "ready" when Server-Leaving came in an answer.

--- a/crates/verbenahinge/src/gateway/crash_check.rs
+++ b/crates/verbenahinge/src/gateway/crash_check.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use tokio::sync::Notify;
-use verbenahinge_core::gateway::{CrashRefusal, ServerState, Suspect, SuspectScope};
+use verbenahinge_core::gateway::{CrashRefusal, Suspect, SuspectScope};
 use verbenahinge_core::{CrashId, Fingerprint, ServerName, Timestamp};
 
 use super::{Gateway, crash_store, peers};
@@ -135,8 +135,7 @@
     actix_rt::time::sleep(CRASH_CHECK_DELAY).await;
     let address = {
         let state = gateway.state.borrow();
-        let entry = state.registry().get(server);
-        let entry = entry.filter(|entry| entry.state != ServerState::Draining);
+        let entry = state.registry().usable(server);
         entry.map(|entry| entry.address)
     };
     let Some(address) = address else {
--- a/crates/verbenahinge/tests/false_crashes.rs
+++ b/crates/verbenahinge/tests/false_crashes.rs
@@ -6,7 +6,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use verbenahinge_core::gateway::{ServerEntry, ServerState};
-use verbenahinge_emulator::scripted_server::ServerFault;
+use verbenahinge_emulator::scripted_server::{ServerFault, ServerFaults};
 use verbenahinge_testkit::{
     CallerConnection, GatewayFleet, GatewayFleetOptions, GatewayRequest, LinkFault, Proxy,
 };
@@ -127,31 +127,63 @@
     others
 }
 
+/// How a server tells that it leaves.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Notice {
+    /// By its registry entry.
+    Entry,
+    /// In its answer to another request.
+    Answer,
+}
+
 /// Guards against a server that has left as planned being taken for a crashed one.
 #[actix_rt::test]
 async fn leaving_server_crashed() {
-    let options = GatewayFleetOptions::new(CONFIG).vms(1).servers(1);
-    let mut fleet = GatewayFleet::start(BIN, options).await;
-    fleet.set_server_fault(0, ServerFault::Silence, 0).await;
-    let request = GatewayRequest::new("r1", "/once/x").deadline_ms(5000);
-    let address = fleet.listen_address(0);
-    let call = actix_rt::spawn(async move {
-        let mut caller = CallerConnection::open(address).await.expect("a connection");
-        caller.call(&request).await.expect("a response").status
-    });
-    while fleet.runs_of_request("r1").await.is_empty() {
-        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    for notice in [Notice::Entry, Notice::Answer] {
+        let options = GatewayFleetOptions::new(CONFIG).vms(1).servers(1);
+        let mut fleet = GatewayFleet::start(BIN, options).await;
+        fleet.set_server_fault(0, ServerFault::Silence, 0).await;
+        let request = GatewayRequest::new("r1", "/once/x").deadline_ms(5000);
+        let address = fleet.listen_address(0);
+        let call = actix_rt::spawn(async move {
+            let mut caller = CallerConnection::open(address).await.expect("a connection");
+            caller.call(&request).await.expect("a response").status
+        });
+        while fleet.runs_of_request("r1").await.is_empty() {
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+        give_notice(&fleet, notice).await;
+        fleet.server_process(0).kill();
+        assert_eq!(call.await.expect("the task ended"), 502);
+        actix_rt::time::sleep(CHECKED).await;
+        let log = fleet.read_log(0);
+        assert!(!log.contains("name=server_crashed"), "{notice:?} {log}");
+    }
+}
+
+/// Has server 0 say that it leaves, and waits until the VM knows.
+async fn give_notice(fleet: &GatewayFleet, notice: Notice) {
+    let entry = fleet.server_entry(0);
+    match notice {
+        Notice::Entry => {
+            let entry = ServerEntry {
+                state: ServerState::Draining,
+                ..entry
+            };
+            fleet.register(&entry).await;
+            let draining = format!("server={} change=draining", entry.id);
+            fleet.wait_for_log(0, &draining).await;
+        }
+        Notice::Answer => {
+            let faults = ServerFaults {
+                is_leaving: true,
+                ..ServerFaults::default()
+            };
+            fleet.set_server_faults(0, &faults).await;
+            let response = fleet.call(0, &GatewayRequest::new("r2", "/read/x")).await;
+            assert_eq!(response.status, 200);
+            let leaving = format!("name=server_leaving server={}", entry.id);
+            fleet.wait_for_log(0, &leaving).await;
+        }
     }
-    let entry = ServerEntry {
-        state: ServerState::Draining,
-        ..fleet.server_entry(0)
-    };
-    fleet.register(&entry).await;
-    let draining = format!("server={} change=draining", entry.id);
-    fleet.wait_for_log(0, &draining).await;
-    fleet.server_process(0).kill();
-    assert_eq!(call.await.expect("the task ended"), 502);
-    actix_rt::time::sleep(CHECKED).await;
-    let log = fleet.read_log(0);
-    assert!(!log.contains("name=server_crashed"), "{log}");
 }
