fix(gateway): a VM that starts again at once learns what is refused

Callers saw: servers crashed again by a request that all other VMs refused, through a VM that was killed and started again while the store was away.

Cause: other VMs send their refused records to one that did not count as live, and a VM counts as lost after 5 s without a message. One that is back sooner was taken for the same VM with all that it knew. Digests repeat records for 20 s only, and the rows of the store could not be read.

Evidence: crashing_request::quick_restart_forgets_crashes.

Why it works: messages carry the ID of the VM, which is a new one after each start. A known address with a new ID is welcomed like a VM that was lost.

--- a/crates/verbenahinge-core/src/gateway/members.rs
+++ b/crates/verbenahinge-core/src/gateway/members.rs
@@ -10,8 +10,8 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
-use crate::Timestamp;
 use crate::hash::{hash64, mix64};
+use crate::{Timestamp, VmId};
 
 /// Time between two rounds; several rounds pass while an engine prefills one prompt.
 pub const DIGEST_INTERVAL: Duration = Duration::from_millis(100);
@@ -60,6 +60,8 @@
     last_heard: Option<Timestamp>,
     added_at: Timestamp,
     is_contacted: bool,
+    /// ID of the VM, which is a new one after each start.
+    vm: Option<VmId>,
 }
 
 /// Digest type and receivers of one round.
@@ -107,6 +109,7 @@
                 last_heard: None,
                 added_at: now,
                 is_contacted: false,
+                vm: None,
             };
             self.by_address.entry(ip).or_insert(member);
         }
@@ -123,12 +126,20 @@
             last_heard: Some(now),
             added_at: now,
             is_contacted: true,
+            vm: self.by_address.get(&ip).and_then(|member| member.vm),
         };
         let lost_after = self.lost_after();
         let old = self.by_address.insert(ip, member);
         old.is_none_or(|old| !is_live(&old, now, lost_after))
     }
 
+    /// Notes the ID of a known VM; returns whether the VM has started again since its last message.
+    pub fn note_start(&mut self, ip: IpAddr, vm: VmId) -> bool {
+        let member = self.by_address.get_mut(&ip);
+        let old = member.and_then(|member| member.vm.replace(vm));
+        old.is_some_and(|old| old != vm)
+    }
+
     /// Silence after which a VM counts as lost.
     #[must_use]
     pub fn lost_after(&self) -> Duration {
--- a/crates/verbenahinge/src/gateway/peers.rs
+++ b/crates/verbenahinge/src/gateway/peers.rs
@@ -287,13 +287,18 @@
     let records = std::mem::take(&mut digest.crashes);
     crash_store::merge_records(gateway, &records, &from.to_string());
     gateway.state.borrow_mut().apply_digest(now, &digest);
-    if gateway.peers.members.borrow_mut().record_message(now, from) {
+    let is_new = {
+        let mut members = gateway.peers.members.borrow_mut();
+        let was_lost = members.record_message(now, from);
+        members.note_start(from, digest.vm) || was_lost
+    };
+    if is_new {
         LogEvent::PeerLinked.log(&[("address", &from)]);
         send_welcome(gateway, from, known_count);
     }
 }
 
-/// Answers a VM that did not count as live, with the addresses of others if it knows fewer.
+/// Answers a VM that did not count as live or has started again, with the addresses of others if it knows fewer.
 fn send_welcome(gateway: &Rc<Gateway>, to: IpAddr, known_count: usize) {
     let addresses = gateway
         .peers
--- a/crates/verbenahinge/tests/crashing_request.rs
+++ b/crates/verbenahinge/tests/crashing_request.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use verbenahinge_emulator::scripted_server::ServerFault;
-use verbenahinge_testkit::{GatewayFleet, GatewayFleetOptions, GatewayRequest};
+use verbenahinge_testkit::{GatewayFleet, GatewayFleetOptions, GatewayRequest, LinkFault, Proxy};
 
 const BIN: &str = env!("CARGO_BIN_EXE_verbenahinge");
 const CONFIG: &str = include_str!("data/gateway.json");
@@ -11,6 +11,12 @@
 /// Timeout for a record to be written to the store.
 const RECORD_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time after the last crash from which VMs no longer repeat it to each other.
+const REPEATED: Duration = Duration::from_secs(22);
+
+/// Time in which a VM that starts learns the configuration from others.
+const START_TIME: Duration = Duration::from_secs(3);
+
 async fn start(vms: u8, servers: usize) -> GatewayFleet {
     let options = GatewayFleetOptions::new(CONFIG).vms(vms).servers(servers);
     let fleet = GatewayFleet::start(BIN, options).await;
@@ -84,6 +90,34 @@
     assert_eq!(crashed_servers(&mut fleet, 4), 2);
 }
 
+/// Guards against a VM that starts again while the store is away, before the others count it as lost.
+#[actix_rt::test]
+async fn quick_restart_forgets_crashes() {
+    let mut fleet = start(2, 4).await;
+    let proxy = Proxy::start(fleet.store_address()).await;
+    fleet.add_vm_with_store(proxy.address());
+    fleet.wait_until_ready(2).await;
+    assert_eq!(fleet.call(0, &crashing("r1")).await.status, 502);
+    fleet.wait_for_log(2, "quarantined=true").await;
+    actix_rt::time::sleep(REPEATED).await;
+    proxy.set_fault(LinkFault::Stall);
+    let length = fleet.read_log(2).len();
+    fleet.vm_process(2).restart();
+    fleet
+        .wait_for_log_after(2, length, "name=config_in_force")
+        .await;
+    let started = Instant::now();
+    for count in 0.. {
+        let request = crashing(&format!("r2-{count}"));
+        assert_eq!(fleet.call(2, &request).await.status, 503);
+        if started.elapsed() > START_TIME {
+            break;
+        }
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(crashed_servers(&mut fleet, 4), 2);
+}
+
 /// Guards against records that a store forgets when it returns from an older copy.
 #[actix_rt::test]
 async fn rollback_forgets_crashes() {
