--- a/crates/verbenahinge/src/gateway/peers.rs
+++ b/crates/verbenahinge/src/gateway/peers.rs
@@ -298,7 +298,8 @@
     }
 }
 
-/// Answers a VM that did not count as live or has started again, with the addresses of others if it knows fewer.
+/// Answers a VM that did not count as live or has started again, with the addresses of others if it knows
+/// fewer.
 fn send_welcome(gateway: &Rc<Gateway>, to: IpAddr, known_count: usize) {
     let addresses = gateway
         .peers
--- a/crates/verbenahinge/tests/fault_soak.rs
+++ b/crates/verbenahinge/tests/fault_soak.rs
@@ -2,7 +2,8 @@
 //! against the guarantees to callers.
 //!
 //! `SOAK_SEEDS=100..150 cargo test -p verbenahinge --test fault_soak` runs other seeds than the
-//! default ones; `SOAK_VMS=24` starts more VMs than three. Seeds that failed once are listed in `data/soak_seeds.txt` with their cause.
+//! default ones; `SOAK_VMS=24` starts more VMs than three. Seeds that failed once are listed in
+//! `data/soak_seeds.txt` with their cause.
 
 #[path = "fault_soak/callers.rs"]
 mod callers;
