--- a/crates/verbenahinge-core/src/gateway/suspect.rs
+++ b/crates/verbenahinge-core/src/gateway/suspect.rs
@@ -41,7 +41,8 @@
         }
     }
 
-    /// Suspects of a request with a prompt that waits for its first event: the request, and each part of the prompt but the last.
+    /// Suspects of a request with a prompt that waits for its first event: the request, and each part of
+    /// the prompt but the last.
     ///
     /// A part may crash one model and not another, so that the model is part of the fingerprint.
     #[must_use]
