fix(gateway): a part that crashes engines of every model is found across models

Callers saw: where one part comes with several models, each model cost two more engines before its requests were refused; with two models that are first met after the fifth crash that is more than three late requests (BUDGET).

Change: a part is a suspect with its model and without.

--- a/crates/verbenahinge-core/src/gateway/crash_guard.rs
+++ b/crates/verbenahinge-core/src/gateway/crash_guard.rs
@@ -168,7 +168,9 @@
                 SuspectScope::Stream => {
                     kind != FailureKind::ConnectionLost || open.len() < QUARANTINE_CRASHES
                 }
-                SuspectScope::Prompt | SuspectScope::Part { .. } => {
+                SuspectScope::Prompt
+                | SuspectScope::Part { .. }
+                | SuspectScope::PartOfAnyModel { .. } => {
                     kind != FailureKind::ConnectionLost
                         || count_moments(open.into_iter().map(|(at, _)| at)) < QUARANTINE_CRASHES
                 }
--- a/crates/verbenahinge-core/src/gateway/suspect.rs
+++ b/crates/verbenahinge-core/src/gateway/suspect.rs
@@ -44,7 +44,7 @@
     /// Suspects of a request with a prompt that waits for its first event: the request, and each part of
     /// the prompt but the last.
     ///
-    /// A part may crash one model and not another, so that the model is part of the fingerprint.
+    /// A part may crash one model or all of them, so that it is a suspect with the model and without.
     #[must_use]
     pub fn of_prompt(fingerprint: Fingerprint, prompt: &Prompt) -> Vec<Self> {
         let mut suspects = vec![Self {
@@ -58,6 +58,10 @@
                 fingerprint: mix64(model, part.id),
                 scope: SuspectScope::part(position),
             });
+            suspects.push(Self {
+                fingerprint: mix64(PART_SEED, part.id),
+                scope: SuspectScope::part_of_any_model(position),
+            });
         }
         suspects
     }
--- a/crates/verbenahinge-core/src/gateway/suspect_scope.rs
+++ b/crates/verbenahinge-core/src/gateway/suspect_scope.rs
@@ -6,6 +6,11 @@
 pub enum SuspectScope {
     /// Requests with a prompt that are equal in everything, once their streams have begun.
     Stream,
+    /// All prompts that hold a part, whatever their model.
+    PartOfAnyModel {
+        /// Position of the part in the prompt, from 0; the largest one seen.
+        position: u16,
+    },
     /// All prompts of one model that hold a part.
     Part {
         /// Position of the part in the prompt, from 0; the largest one seen.
@@ -21,6 +26,7 @@
 const REQUEST_NUMBER: u32 = 0;
 const PROMPT_NUMBER: u32 = 1;
 const FIRST_PART_NUMBER: u32 = 2;
+const FIRST_ANY_MODEL_NUMBER: u32 = 1 << 20;
 const STREAM_NUMBER: u32 = u32::MAX;
 
 impl SuspectScope {
@@ -32,6 +38,7 @@
             Self::Prompt => PROMPT_NUMBER,
             Self::Stream => STREAM_NUMBER,
             Self::Part { position } => FIRST_PART_NUMBER + u32::from(position),
+            Self::PartOfAnyModel { position } => FIRST_ANY_MODEL_NUMBER + u32::from(position),
         }
     }
 
@@ -42,6 +49,9 @@
             REQUEST_NUMBER => Self::Request,
             PROMPT_NUMBER => Self::Prompt,
             STREAM_NUMBER => Self::Stream,
+            FIRST_ANY_MODEL_NUMBER.. => Self::PartOfAnyModel {
+                position: u16::try_from(number - FIRST_ANY_MODEL_NUMBER).unwrap_or(u16::MAX),
+            },
             _ => Self::Part {
                 position: u16::try_from(number - FIRST_PART_NUMBER).unwrap_or(u16::MAX),
             },
@@ -56,9 +66,17 @@
         }
     }
 
+    /// Scope of the part at a position, for all models.
+    #[must_use]
+    pub fn part_of_any_model(position: usize) -> Self {
+        Self::PartOfAnyModel {
+            position: u16::try_from(position).unwrap_or(u16::MAX),
+        }
+    }
+
     /// Whether the scope is a part of prompts.
     #[must_use]
     pub const fn is_part(self) -> bool {
-        matches!(self, Self::Part { .. })
+        matches!(self, Self::Part { .. } | Self::PartOfAnyModel { .. })
     }
 }
--- a/crates/verbenahinge-core/tests/stream_crashes.rs
+++ b/crates/verbenahinge-core/tests/stream_crashes.rs
@@ -75,6 +75,7 @@
         SuspectScope::Prompt,
         SuspectScope::Request,
         SuspectScope::part(0),
+        SuspectScope::part_of_any_model(3),
     ] {
         assert_eq!(SuspectScope::from_number(scope.number()), scope);
     }
--- a/crates/verbenahinge/src/gateway/crash_check.rs
+++ b/crates/verbenahinge/src/gateway/crash_check.rs
@@ -278,7 +278,7 @@
 /// Why a request with a refused suspect is not run.
 pub(super) const fn refusal_message(refusal: &CrashRefusal) -> &'static str {
     match refusal.suspect.scope {
-        SuspectScope::Part { .. } => {
+        SuspectScope::Part { .. } | SuspectScope::PartOfAnyModel { .. } => {
             "a part of the prompt crashed backend servers and is not run again"
         }
         SuspectScope::Stream | SuspectScope::Prompt | SuspectScope::Request => {
@@ -290,6 +290,7 @@
 fn scope_name(scope: Option<SuspectScope>) -> String {
     match scope {
         Some(SuspectScope::Part { position }) => format!("part-{position}"),
+        Some(SuspectScope::PartOfAnyModel { position }) => format!("part-{position}-any-model"),
         Some(SuspectScope::Prompt) => "prompt".to_owned(),
         Some(SuspectScope::Stream) => "stream".to_owned(),
         Some(SuspectScope::Request) | None => "request".to_owned(),
