--- a/crates/verbenahinge-core/tests/deadly_spread.rs
+++ b/crates/verbenahinge-core/tests/deadly_spread.rs
@@ -141,6 +141,22 @@
     }
 }
 
+/// Guards against the first part of an account that is blamed in place of several parts behind it.
+#[test]
+fn quiet_account_refused() {
+    let plan = FleetPlan {
+        engines: 10,
+        ends_at: Duration::from_secs(40),
+        sound_per_s: 12,
+        deadly_per_s: 1,
+        deadly_parts: 3,
+        ..SMALL
+    };
+    for seed in 0..8 {
+        check(plan, seed);
+    }
+}
+
 /// Servers that end for other reasons, one each 300 ms, must not get sound parts refused.
 #[test]
 fn outside_crashes_refuse_sound() {
