feat(platform): software versions of servers and the request that a caller resumes are read

The registry entry's software version was dropped when the entry was decoded, and `Resumes` was not read. Both are decoded now; nothing uses them yet. An entry whose version is no text is unreadable, one without a version has none. Software versions are those of one service: the same name in two services is two versions.

--- a/crates/verbenahinge-core/src/gateway.rs
+++ b/crates/verbenahinge-core/src/gateway.rs
@@ -27,6 +27,7 @@
 mod routing;
 mod server_order;
 mod server_start;
+mod software_version;
 mod state;
 mod store_contact;
 mod store_version;
@@ -58,6 +59,7 @@
 };
 pub use self::server_order::ServerOrder;
 pub use self::server_start::ServerStart;
+pub use self::software_version::{SoftwareName, SoftwareVersion};
 pub use self::state::{GatewayState, LimitReport, PeerDigest, ServerDigest};
 pub use self::store_contact::{REREGISTER_GRACE, StoreContact, StoreGap};
 pub use self::store_version::StoreVersion;
--- a/crates/verbenahinge-core/src/gateway/registry.rs
+++ b/crates/verbenahinge-core/src/gateway/registry.rs
@@ -13,7 +13,7 @@
 use self::leaving_starts::LeavingStarts;
 use self::registration::{Registration, Standing};
 use super::server_order::ServerOrder;
-use super::{REREGISTER_GRACE, ServerStart, ServiceName};
+use super::{REREGISTER_GRACE, ServerStart, ServiceName, SoftwareName, SoftwareVersion};
 use crate::{ServerName, Timestamp, ZoneName};
 
 /// Time for which a server is held, in heartbeats. The entry of a server that has left lapses after
@@ -50,6 +50,8 @@
     pub warm_up: Duration,
     /// Start of the process as Unix time in milliseconds; a new value means that all state is lost.
     pub started_unix_ms: Option<u64>,
+    /// Version of the server's software, which is not that of its model's weights.
+    pub software: Option<SoftwareName>,
 }
 
 impl ServerEntry {
@@ -65,9 +67,16 @@
             state: ServerState::Ready,
             warm_up: Duration::ZERO,
             started_unix_ms: None,
+            software: None,
         }
     }
 
+    /// Returns the software version of the server, which is unique to its service.
+    #[must_use]
+    pub fn software_version(&self) -> SoftwareVersion {
+        SoftwareVersion::new(&self.service, self.software.as_deref())
+    }
+
     /// Returns the start of the server that the entry describes.
     #[must_use]
     pub fn start(&self) -> ServerStart {
@@ -91,6 +100,13 @@
         self
     }
 
+    /// Sets the version of the server's software.
+    #[must_use]
+    pub fn software(mut self, software: &str) -> Self {
+        self.software = Some(software.into());
+        self
+    }
+
     /// Sets whether the server accepts new requests.
     #[must_use]
     pub const fn state(mut self, state: ServerState) -> Self {
--- a/crates/verbenahinge-testkit/src/gateway_caller.rs
+++ b/crates/verbenahinge-testkit/src/gateway_caller.rs
@@ -22,6 +22,7 @@
     deadline_ms: u64,
     prompt: Option<String>,
     last_event_id: Option<u64>,
+    resumed_request: Option<String>,
     body: Bytes,
 }
 
@@ -38,6 +39,7 @@
             deadline_ms: 4000,
             prompt: None,
             last_event_id: None,
+            resumed_request: None,
             body: Bytes::from_static(b"a body"),
         }
     }
@@ -100,6 +102,13 @@
         self
     }
 
+    /// Sets the ID of the request that brought the first event of the stream.
+    #[must_use]
+    pub fn resumes(mut self, request_id: &str) -> Self {
+        self.resumed_request = Some(request_id.to_owned());
+        self
+    }
+
     fn build(&self) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
@@ -119,6 +128,9 @@
         if let Some(event_id) = self.last_event_id {
             insert(http_headers::LAST_EVENT_ID, &event_id.to_string());
         }
+        if let Some(request_id) = &self.resumed_request {
+            insert(http_headers::RESUMED_REQUEST, request_id);
+        }
         request
     }
 }
@@ -166,6 +178,15 @@
         ids
     }
 
+    /// Names of the servers that wrote the events of a stream, in order of arrival.
+    #[must_use]
+    pub fn event_servers(&self) -> Vec<&str> {
+        let lines = self.body.lines();
+        lines
+            .filter_map(|line| line.strip_prefix("data: event ")?.split(" of ").nth(1))
+            .collect()
+    }
+
     /// Returns whether the gateway closes the connection after the response.
     #[must_use]
     pub fn closes_connection(&self) -> bool {
