--- a/crates/verbenahinge-testkit/src/gateway_fleet.rs
+++ b/crates/verbenahinge-testkit/src/gateway_fleet.rs
@@ -160,6 +160,12 @@
             .expect("failed to read the log")
     }
 
+    /// Number of VMs that were started.
+    #[must_use]
+    pub const fn vm_count(&self) -> usize {
+        self.vms.len()
+    }
+
     /// Process of a VM.
     pub fn vm_process(&mut self, vm: usize) -> &mut Process {
         &mut self.vms[vm].process
