fix(gateway): a stream continues only at the software version that began it

Change: the version of the server that sent the first event goes with the call, and only servers of it are candidates. VMs keep it by the ID of the request that brought the first event, tell each other while a service has, or had lately, several versions, and ask each other when a caller comes back. A VM that has seen a service have one version for longer than a stream lasts needs no record. What nobody knows is refused as not run. Log events 516, and the version in 402.

The testkit's first VMs know that they are the first.

--- a/crates/verbenahinge-bench/src/gateway_costs.rs
+++ b/crates/verbenahinge-bench/src/gateway_costs.rs
@@ -111,6 +111,7 @@
         arrived: now,
         waiting_since: now,
         deadline: now + route.timeout,
+        version: None,
     }
 }
 
--- a/crates/verbenahinge-core/src/gateway/call.rs
+++ b/crates/verbenahinge-core/src/gateway/call.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::routing::combine_priorities;
-use super::{Account, Priority, Prompt, Route, ServiceName, Suspect};
+use super::{Account, Priority, Prompt, Route, ServerEntry, ServiceName, SoftwareVersion, Suspect};
 use crate::{Fingerprint, Timestamp};
 
 /// Identifies a call within one process.
@@ -32,6 +32,9 @@
     pub waiting_since: Timestamp,
     /// Time at which the caller or the route stops waiting, whichever is first.
     pub deadline: Timestamp,
+    /// Software version that began the stream which the request continues; `None` if any server may run
+    /// the request.
+    pub version: Option<SoftwareVersion>,
 }
 
 /// Share of a route's timeout; a caller that grants less time is assumed to be retrying.
@@ -75,6 +78,13 @@
         has_prompt.then(|| Suspect::stream(self.fingerprint))
     }
 
+    /// Returns whether a server has the software version that the request needs, if any.
+    #[must_use]
+    pub fn may_run_at(&self, entry: &ServerEntry) -> bool {
+        self.version
+            .is_none_or(|version| version == entry.software_version())
+    }
+
     /// Time until the deadline.
     #[must_use]
     pub fn time_left(&self, now: Timestamp) -> Duration {
--- a/crates/verbenahinge-core/src/gateway/members.rs
+++ b/crates/verbenahinge-core/src/gateway/members.rs
@@ -48,6 +48,10 @@
 /// a VM that returns is still known.
 const MIN_FORGET_AFTER: Duration = Duration::from_secs(40);
 
+/// VMs of a large fleet that keep one record. With four, most records outlive the loss of six in ten VMs
+/// at once.
+const RECORD_HOLDERS: usize = 4;
+
 /// Hash seed of the order in which VMs are picked to watch the store; it makes that order
 /// independent of other hash orders.
 const WATCHER_ORDER_SEED: u64 = 0x7761_7463;
@@ -257,6 +261,18 @@
         self.live_addresses(now).count() > FANOUT
     }
 
+    /// Live VMs that keep a record with the given key for the whole fleet: all in a small fleet, else a
+    /// few that VMs with the same live VMs agree on.
+    #[must_use]
+    pub fn holders(&self, now: Timestamp, key: u64) -> Vec<IpAddr> {
+        let mut holders: Vec<IpAddr> = self.live_addresses(now).collect();
+        if self.is_large(now) {
+            holders.sort_unstable_by_key(|&ip| mix64(key, address_number(ip)));
+            holders.truncate(RECORD_HOLDERS);
+        }
+        holders
+    }
+
     /// Position of this VM in the order in which live VMs are picked to watch the store.
     ///
     /// VMs that count the same VMs as live agree on that order.
--- a/crates/verbenahinge-core/src/gateway/placement/placement_error.rs
+++ b/crates/verbenahinge-core/src/gateway/placement/placement_error.rs
@@ -7,6 +7,10 @@
 pub enum PlacementError {
     /// The service has no usable backend server.
     NoServer,
+    /// No usable backend server has the software version that began the stream.
+    NoServerOfVersion,
+    /// The software version that began the stream is not known.
+    UnknownVersion,
     /// The first event would come too late; holds the shortest expected wait.
     TooLate(Duration),
     /// The engines that would be in time are full.
--- a/crates/verbenahinge-core/src/gateway/registry.rs
+++ b/crates/verbenahinge-core/src/gateway/registry.rs
@@ -288,18 +288,25 @@
             let listed = servers.get(&start.server);
             listed.is_some_and(|server| server.entry.started_unix_ms == start.started_unix_ms)
         });
-        let mut expired = Vec::new();
+        let expired = self.due(now);
+        for id in &expired {
+            self.remove(id);
+        }
+        expired
+    }
+
+    /// Names of missing entries that were not registered again in time.
+    #[must_use]
+    pub fn due(&self, now: Timestamp) -> Vec<ServerName> {
+        let mut due = Vec::new();
         for (id, server) in &self.servers {
             if let Standing::Missing { deadline } = server.standing
                 && deadline <= now
             {
-                expired.push(id.clone());
+                due.push(id.clone());
             }
         }
-        for id in &expired {
-            self.remove(id);
-        }
-        expired
+        due
     }
 
     fn release_held(&mut self, now: Timestamp) {
--- a/crates/verbenahinge-core/src/gateway/routing.rs
+++ b/crates/verbenahinge-core/src/gateway/routing.rs
@@ -168,6 +168,7 @@
     accounts_by_key: BTreeMap<String, Arc<Account>>,
     route_priorities: BTreeSet<u8>,
     account_priorities: BTreeSet<Option<u8>>,
+    longest_timeout: Duration,
 }
 
 impl Routing {
@@ -183,6 +184,7 @@
     /// Adds a route for a host and a path prefix that begins and ends with a slash.
     pub fn add_route(&mut self, host: &str, prefix: &str, route: Route) {
         self.route_priorities.insert(route.priority);
+        self.longest_timeout = self.longest_timeout.max(route.timeout);
         if route.public {
             self.account_priorities.insert(None);
         }
@@ -216,6 +218,12 @@
         priorities.range(..priority).count()
     }
 
+    /// Longest time that callers of any route wait.
+    #[must_use]
+    pub const fn longest_timeout(&self) -> Duration {
+        self.longest_timeout
+    }
+
     /// Number of routes.
     #[must_use]
     pub fn route_count(&self) -> usize {
--- a/crates/verbenahinge-core/src/gateway/state.rs
+++ b/crates/verbenahinge-core/src/gateway/state.rs
@@ -9,6 +9,7 @@
 mod permits;
 mod retries;
 mod servers;
+mod streams;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -24,6 +25,7 @@
 use super::{
     Backend, Bounds, Call, CallId, CrashGuard, LoadReport, PlacementContext, PlacementError,
     Priority, Registry, RetryWindow, Routing, ServerChoice, ServerEntry, ServiceName,
+    SoftwareHistory, StreamOrigins,
 };
 use crate::{FailureKind, ServerName, Timestamp, VmId, ZoneName};
 
@@ -61,6 +63,10 @@
     uses_permits: bool,
     permit_buckets: BTreeMap<u64, PermitBucket>,
     pauses: Pauses,
+    software: SoftwareHistory,
+    stream_origins: StreamOrigins,
+    /// Time after its beginning by which a stream has ended, over all tries of its caller.
+    stream_lifetime: Duration,
 }
 
 impl GatewayState {
@@ -90,6 +96,9 @@
             uses_permits: false,
             permit_buckets: BTreeMap::new(),
             pauses: Pauses::new(),
+            software: SoftwareHistory::default(),
+            stream_origins: StreamOrigins::new(),
+            stream_lifetime: Duration::ZERO,
         }
     }
 
@@ -117,10 +126,11 @@
     ///
     /// A VM that sent no digest for `vm_lost_after` no longer counts.
     pub fn tick(&mut self, now: Timestamp, vm_lost_after: Duration) -> Vec<ServerName> {
-        let expired = self.registry.expire(now);
-        for id in &expired {
-            self.remove_backend(id);
+        let expired = self.expire_servers(now);
+        if self.is_registry_complete {
+            self.software.observe(now);
         }
+        self.stream_origins.expire(now);
         self.peers
             .retain(|_, peer| peer.last_digest_at + vm_lost_after > now);
         for backend in self.backends.values_mut() {
@@ -177,6 +187,9 @@
         let candidates = self.candidates(now, call, tried);
         match self.placement_context(now, call).choose(call, &candidates) {
             Err(PlacementError::Limited(wait)) => Err(self.refuse_waiting(now, call, wait)),
+            Err(PlacementError::NoServer) if call.version.is_some() => {
+                Err(PlacementError::NoServerOfVersion)
+            }
             Err(PlacementError::NoServer) => Err(self.refuse_unplaced(now, call)),
             choice => choice,
         }
@@ -209,7 +222,9 @@
         let mut candidates = Vec::new();
         for id in queried {
             let entry = self.registry.usable(id);
-            if let (Some(entry), Some(backend)) = (entry, self.backends.get(id)) {
+            if let (Some(entry), Some(backend)) = (entry, self.backends.get(id))
+                && call.may_run_at(entry)
+            {
                 candidates.push(self.candidate(now, entry, backend));
             }
         }
@@ -238,7 +253,9 @@
             let backend = self.backends.get(id);
             let entry = self.registry.get(id);
             !tried.contains(id)
-                && entry.is_some_and(|entry| self.pause_left(now, entry).is_none())
+                && entry.is_some_and(|entry| {
+                    call.may_run_at(entry) && self.pause_left(now, entry).is_none()
+                })
                 && backend.is_some_and(|backend| {
                     !backend.is_ejected(now) && backend.limit_wait().is_none()
                 })
@@ -266,7 +283,7 @@
     ) -> Vec<Candidate<'a>> {
         let mut candidates = Vec::new();
         for entry in self.registry.ready(&call.service) {
-            if tried.contains(&entry.id) {
+            if tried.contains(&entry.id) || !call.may_run_at(entry) {
                 continue;
             }
             if let Some(backend) = self.backends.get(&entry.id) {
--- a/crates/verbenahinge-core/src/gateway/state/config.rs
+++ b/crates/verbenahinge-core/src/gateway/state/config.rs
@@ -38,6 +38,8 @@
         if self.routing.is_some() && routing.version <= self.config_version() {
             return Err(routing);
         }
-        Ok(self.routing.replace(routing))
+        let old = self.routing.replace(routing);
+        self.update_stream_lifetime();
+        Ok(old)
     }
 }
--- a/crates/verbenahinge-core/src/gateway/state/servers.rs
+++ b/crates/verbenahinge-core/src/gateway/state/servers.rs
@@ -9,7 +9,9 @@
     /// Inserts or updates the registry entry of a backend server.
     pub fn upsert_server(&mut self, entry: ServerEntry) -> Option<RegistryChange> {
         let id = entry.id.clone();
+        let old = self.software_of(&id);
         let change = self.registry.upsert(entry);
+        self.note_software_change(&id, old);
         self.add_backend(id, change);
         change
     }
@@ -32,21 +34,27 @@
     ) -> Option<RegistryChange> {
         let id = entry.id.clone();
         let heartbeat = self.bounds.server_heartbeat;
+        let old = self.software_of(&id);
         let change = self.registry.restore(now, entry, was_removed, heartbeat);
+        self.note_software_change(&id, old);
         self.add_backend(id, change);
         change
     }
 
     /// Removes a backend server whose registry entry was removed.
     pub fn remove_server(&mut self, id: &str) -> Option<RegistryChange> {
+        let old = self.software_of(id);
         let change = self.registry.remove(id);
+        self.note_software_change(id, old);
         self.remove_backend(id);
         change
     }
 
     /// Marks a backend server whose registry entry is missing after an outage of the store.
     pub fn mark_server_missing(&mut self, now: Timestamp, id: &str) -> Option<RegistryChange> {
+        let old = self.software_of(id);
         let change = self.registry.mark_missing(now, id);
+        self.note_software_change(id, old);
         if change == Some(RegistryChange::Removed) {
             self.remove_backend(id);
         }
@@ -57,7 +65,9 @@
     ///
     /// [`Registry::note_leaving`]: crate::gateway::Registry::note_leaving
     pub fn note_leaving(&mut self, now: Timestamp, start: &ServerStart) -> LeavingNews {
+        let old = self.software_of(&start.server);
         let news = self.registry.note_leaving(now, start);
+        self.note_software_change(&start.server, old);
         if self.registry.get(&start.server).is_none() {
             self.remove_backend(&start.server);
         }
@@ -82,6 +92,20 @@
         self.is_registry_complete = true;
     }
 
+    /// Removes backend servers whose missing entries were not registered again in time.
+    pub(super) fn expire_servers(&mut self, now: Timestamp) -> Vec<ServerName> {
+        let due = self.registry.due(now);
+        let software: Vec<_> = due.iter().map(|id| self.software_of(id)).collect();
+        let expired = self.registry.expire(now);
+        for (id, old) in due.iter().zip(software) {
+            self.note_software_change(id, old);
+        }
+        for id in &expired {
+            self.remove_backend(id);
+        }
+        expired
+    }
+
     pub(super) fn remove_backend(&mut self, id: &str) {
         self.backends.remove(id);
         self.names_by_hash.remove(&hash64(id.as_bytes()));
--- a/crates/verbenahinge-core/tests/limit_permits.rs
+++ b/crates/verbenahinge-core/tests/limit_permits.rs
@@ -35,6 +35,7 @@
         arrived: NOW,
         waiting_since: NOW,
         deadline: NOW + Duration::from_secs(2),
+        version: None,
     }
 }
 
--- a/crates/verbenahinge-core/tests/limit_sharing.rs
+++ b/crates/verbenahinge-core/tests/limit_sharing.rs
@@ -79,6 +79,7 @@
         arrived: now,
         waiting_since: now,
         deadline: now + Duration::from_secs(2),
+        version: None,
     }
 }
 
--- a/crates/verbenahinge-core/tests/support/engines.rs
+++ b/crates/verbenahinge-core/tests/support/engines.rs
@@ -54,6 +54,7 @@
         arrived: now,
         waiting_since: now,
         deadline: now + route.timeout,
+        version: None,
     }
 }
 
--- a/crates/verbenahinge-core/tests/support/services.rs
+++ b/crates/verbenahinge-core/tests/support/services.rs
@@ -50,6 +50,7 @@
         arrived: now,
         waiting_since: now,
         deadline: now + timeout,
+        version: None,
     }
 }
 
--- a/crates/verbenahinge-testkit/src/gateway_fleet.rs
+++ b/crates/verbenahinge-testkit/src/gateway_fleet.rs
@@ -42,6 +42,8 @@
     control_port: u16,
     peer_port: u16,
     server_args: Vec<String>,
+    /// Whether the whole fleet is starting for the first time.
+    is_first_start: bool,
 }
 
 impl GatewayFleet {
@@ -65,6 +67,7 @@
             control_port: free_address().port(),
             peer_port: free_address().port(),
             server_args: options.server_args,
+            is_first_start: true,
         };
         fleet.write_config(&options.config).await;
         for index in 0..options.servers {
@@ -78,9 +81,21 @@
         for vm in 0..fleet.vms.len() {
             fleet.wait_until_ready(vm).await;
         }
+        fleet.end_first_start();
         fleet
     }
 
+    /// Has processes that start from now on know that the fleet has served before.
+    fn end_first_start(&mut self) {
+        self.is_first_start = false;
+        for index in 0..self.vms.len() {
+            let mut settings = self.vms[index].settings.clone();
+            settings.is_first_start = false;
+            self.write_settings(&settings);
+            self.vms[index].settings = settings;
+        }
+    }
+
     /// Starts another VM without waiting until it is ready.
     ///
     /// # Panics
@@ -113,6 +128,7 @@
             store,
             bounds: Bounds::default(),
             memory_mb: SMALLEST_VM_MB,
+            is_first_start: self.is_first_start,
         };
         let settings_file = self.write_settings(&settings);
         let settings_file = settings_file.to_string_lossy().into_owned();
--- a/crates/verbenahinge/src/event_log.rs
+++ b/crates/verbenahinge/src/event_log.rs
@@ -90,6 +90,8 @@
     AttemptContinued = 514,
     /// No server was found for a retry.
     RetryUnplaced = 515,
+    /// A caller came back for the rest of a stream.
+    StreamReturned = 516,
     /// The link to a peer was lost, or the peer announced its shutdown.
     PeerLost = 600,
     /// A link to a peer was established.
--- a/crates/verbenahinge/src/gateway.rs
+++ b/crates/verbenahinge/src/gateway.rs
@@ -135,7 +135,10 @@
         None => None,
     };
     let vm = rand::random();
-    let state = GatewayState::new(vm, settings.availability_zone.clone(), settings.bounds);
+    let mut state = GatewayState::new(vm, settings.availability_zone.clone(), settings.bounds);
+    if settings.is_first_start {
+        state.mark_first_start();
+    }
     let response_memory = ResponseMemory::new(settings.memory_mb);
     let clock = Clock::new();
     let peers = Peers::bind(clock.now(), &settings).await?;
@@ -145,6 +148,7 @@
         ("operator_listen", &settings.ready_listen),
         ("name", &settings.name),
         ("store", &settings.store),
+        ("first_start", &settings.is_first_start),
     ]);
     let gateway = Rc::new(Gateway {
         settings: RefCell::new(settings),
@@ -244,6 +248,10 @@
         for server in expired {
             LogEvent::ServerListed.log(&[("server", &server), ("change", &"lapsed")]);
         }
+        let has_stream_news = gateway.state.borrow().stream_origins().has_untold();
+        if has_stream_news {
+            peers::push_streams(&gateway);
+        }
         let state = gateway.state.borrow();
         gateway
             .connections
--- a/crates/verbenahinge/src/gateway/attempt.rs
+++ b/crates/verbenahinge/src/gateway/attempt.rs
@@ -10,7 +10,7 @@
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use verbenahinge_core::gateway::{
-    Call, RouteKind, ServerChoice, ServerEntry, ServerStart, ServerState,
+    Call, RouteKind, ServerChoice, ServerEntry, ServerStart, ServerState, SoftwareVersion,
 };
 use verbenahinge_core::{FailureKind, ServerName, Timestamp};
 use verbenahinge_platform::http_headers::{self, ForwardHeaders, ServerHeaders};
@@ -28,6 +28,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) last_event: Option<u64>,
+    /// ID of the request that brought the first event of the stream that is resumed.
+    pub(crate) resumed_request: Option<String>,
 }
 
 /// Why an attempt produced no response to forward.
@@ -46,6 +48,8 @@
     pub(crate) head: ServerHeaders,
     pub(crate) body: Incoming,
     pub(crate) connection: PooledConnection,
+    /// Software version of the server.
+    pub(crate) version: SoftwareVersion,
 }
 
 impl OpenResponse {
@@ -184,6 +188,7 @@
                 head,
                 body,
                 connection,
+                version: entry.software_version(),
             });
         }
     }
--- a/crates/verbenahinge/src/gateway/frontend.rs
+++ b/crates/verbenahinge/src/gateway/frontend.rs
@@ -241,6 +241,7 @@
         arrived,
         waiting_since: arrived,
         deadline,
+        version: None,
     };
     let refusal = {
         let now = gateway.now();
@@ -262,6 +263,7 @@
         headers: parts.headers,
         body,
         last_event: caller.last_event,
+        resumed_request: caller.resumed_request,
     };
     let handler = RequestHandler::new(guard, call, request);
     handler.serve().await
--- a/crates/verbenahinge/src/gateway/peer_message.rs
+++ b/crates/verbenahinge/src/gateway/peer_message.rs
@@ -5,6 +5,7 @@
 mod feed_message;
 mod leaving_message;
 mod limit_message;
+mod stream_message;
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr};
@@ -18,6 +19,7 @@
 pub(super) use self::feed_message::{DeltaMessage, FeedMessage, feed_from_number, feed_number};
 pub(super) use self::leaving_message::LeavingMessage;
 pub(super) use self::limit_message::LimitMessage;
+pub(super) use self::stream_message::{StreamMessage, StreamQueryMessage};
 
 /// Purpose of a message to another VM; the metrics use it as a label.
 #[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
@@ -45,6 +47,12 @@
     Limit,
     /// Server that has said in an answer that it leaves.
     Leaving,
+    /// Versions at which streams began.
+    Stream,
+    /// Query for the version at which a stream began.
+    StreamQuery,
+    /// Reply to a query for a stream.
+    StreamReply,
     /// Query for a permit to send a request to a limited server.
     PermitQuery,
     /// Reply to a permit query.
@@ -106,6 +114,15 @@
     /// Whether a permit is granted, in a reply.
     #[prost(bool, tag = "18")]
     pub(super) is_permitted: bool,
+    /// Versions at which streams began.
+    #[prost(message, repeated, tag = "22")]
+    pub(super) streams: Vec<StreamMessage>,
+    /// Query for the version at which a stream began.
+    #[prost(message, optional, tag = "23")]
+    pub(super) stream_query: Option<StreamQueryMessage>,
+    /// Identifier of a query for a stream, repeated in its reply; 0 in other messages.
+    #[prost(uint64, tag = "24")]
+    pub(super) stream_query_id: u64,
     /// Whether the sender is shutting down.
     #[prost(bool, tag = "7")]
     pub(super) is_shutting_down: bool,
--- a/crates/verbenahinge/src/gateway/peers.rs
+++ b/crates/verbenahinge/src/gateway/peers.rs
@@ -5,6 +5,7 @@
 mod leaving;
 mod load;
 mod permits;
+mod streams;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -33,6 +34,8 @@
 pub(super) use self::load::{query_load, send_load};
 use self::permits::handle_permit;
 pub(super) use self::permits::{push_limit, request_permit};
+use self::streams::{StreamNews, handle_streams};
+pub(super) use self::streams::{find_version, push_streams};
 use super::peer_message::{LimitMessage, MessageKind, PeerMessage, pack_ip, unpack_ip};
 use super::table_body::TableTransfers;
 use super::{Gateway, crash_store, thread_holds, watch};
@@ -55,6 +58,7 @@
     /// Era of the store in which this VM last began to write its address.
     registered_era: Cell<Option<u64>>,
     crash_pushes: CrashPushes,
+    stream_news: StreamNews,
     last_query_id: Cell<u64>,
     pending_queries: RefCell<BTreeMap<u64, PendingQuery>>,
     pending_permits: RefCell<BTreeMap<u64, oneshot::Sender<bool>>>,
@@ -75,6 +79,7 @@
             members: RefCell::new(Members::new(settings.ip)),
             registered_era: Cell::new(None),
             crash_pushes: CrashPushes::default(),
+            stream_news: StreamNews::default(),
             last_query_id: Cell::new(0),
             pending_queries: RefCell::default(),
             pending_permits: RefCell::default(),
@@ -278,6 +283,7 @@
         .borrow_mut()
         .apply_limit_reports(now, message.vm, &reports);
     handle_leaving(gateway, from, &message.leaving);
+    handle_streams(gateway, from, &message);
     if message.permit_server > 0 {
         handle_permit(gateway, from, &message);
     } else if message.query_id > 0 {
--- /dev/null
+++ b/crates/verbenahinge/src/gateway/peers/streams.rs
@@ -0,0 +1,228 @@
+//! Software versions at which streams began: told to other VMs while a service has several, and queried
+//! by a VM to which a caller comes back.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+use verbenahinge_core::gateway::{Feed, Route, SoftwareVersion, StreamId, StreamOrigin};
+
+use super::send_to;
+use crate::gateway::Gateway;
+use crate::gateway::peer_message::{MessageKind, PeerMessage, StreamMessage, StreamQueryMessage};
+
+/// Time in which streams are collected before other VMs are told of them.
+const STREAM_PUSH_DELAY: Duration = Duration::from_millis(10);
+
+/// Streams in one datagram, which stays below the usual maximum of 1,500 bytes.
+const STREAMS_PER_DATAGRAM: usize = 48;
+
+/// Maximum wait for other VMs to tell where a stream began: a busy VM takes tens of milliseconds to
+/// reply.
+const STREAM_QUERY_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Age of the registry's replica up to which a VM vouches for the versions of a service: a watch of the
+/// store, and a failed one.
+const MAX_REPLICA_AGE: Duration = Duration::from_secs(6);
+
+/// Streams that are about to be told, and queries in flight.
+#[derive(Default)]
+pub(super) struct StreamNews {
+    is_push_pending: Cell<bool>,
+    pending_queries: RefCell<BTreeMap<u64, PendingQuery>>,
+}
+
+/// A query that some VMs have not replied to yet.
+struct PendingQuery {
+    outstanding: usize,
+    completion: oneshot::Sender<Option<StreamOrigin>>,
+}
+
+/// Tells other VMs where streams began, once for all streams within [`STREAM_PUSH_DELAY`].
+pub(in crate::gateway) fn push_streams(gateway: &Rc<Gateway>) {
+    if gateway.peers.stream_news.is_push_pending.replace(true) {
+        return;
+    }
+    let gateway = Rc::clone(gateway);
+    actix_rt::spawn(async move {
+        actix_rt::time::sleep(STREAM_PUSH_DELAY).await;
+        gateway.peers.stream_news.is_push_pending.set(false);
+        send_streams(&gateway).await;
+    });
+}
+
+async fn send_streams(gateway: &Gateway) {
+    let now = gateway.now();
+    let origins = gateway.state.borrow_mut().take_stream_news(now);
+    let mut by_holders: BTreeMap<Vec<IpAddr>, Vec<StreamMessage>> = BTreeMap::new();
+    {
+        let members = gateway.peers.members.borrow();
+        let is_large = members.is_large(now);
+        let all = members.live_addresses(now).collect::<Vec<_>>();
+        for origin in origins {
+            let message = StreamMessage::from_origin(origin);
+            if !is_large {
+                by_holders.entry(all.clone()).or_default().push(message);
+                continue;
+            }
+            for holder in members.holders(now, origin.stream) {
+                by_holders.entry(vec![holder]).or_default().push(message);
+            }
+        }
+    }
+    for (holders, streams) in by_holders {
+        for streams in streams.chunks(STREAMS_PER_DATAGRAM) {
+            let mut message = stream_message(gateway);
+            message.streams = streams.to_vec();
+            send_to(gateway, MessageKind::Stream, message, &holders).await;
+        }
+    }
+}
+
+fn stream_message(gateway: &Gateway) -> PeerMessage {
+    let digest = gateway.state.borrow().digest_without_load(gateway.now());
+    PeerMessage::new(digest, Vec::new(), Vec::new())
+}
+
+/// Finds out at which software version a stream began; `None` if no VM in reach knows.
+pub(in crate::gateway) async fn find_version(
+    gateway: &Rc<Gateway>,
+    route: &Route,
+    stream: Option<StreamId>,
+) -> Option<SoftwareVersion> {
+    let known = local_version(gateway, route, stream);
+    if known.is_some() {
+        return known;
+    }
+    let told = query_origin(gateway, route, stream).await;
+    told.map(|origin| origin.version)
+}
+
+/// Version at which a stream began as far as this VM knows: by what it was told, or as the only version
+/// that the route's service had while the stream can have begun.
+fn local_version(
+    gateway: &Gateway,
+    route: &Route,
+    stream: Option<StreamId>,
+) -> Option<SoftwareVersion> {
+    let now = gateway.now();
+    let state = gateway.state.borrow();
+    let told = stream.and_then(|stream| state.stream_origins().version(stream));
+    told.or_else(|| {
+        let sole = state.sole_version(now, route);
+        sole.filter(|_| has_current_registry(gateway))
+    })
+}
+
+/// Whether this VM would know of a version that has begun to serve.
+fn has_current_registry(gateway: &Gateway) -> bool {
+    let now = gateway.now();
+    let age = gateway
+        .replicas
+        .with(Feed::Servers, |replica| replica.age(now));
+    let is_recent = age.is_some_and(|age| age <= MAX_REPLICA_AGE);
+    is_recent && !gateway.replicas.is_behind(Feed::Servers)
+}
+
+/// Asks the VMs that may know where a stream began, and waits until one tells or all have replied.
+async fn query_origin(
+    gateway: &Rc<Gateway>,
+    route: &Route,
+    stream: Option<StreamId>,
+) -> Option<StreamOrigin> {
+    let peers = &gateway.peers;
+    let key = stream.unwrap_or_else(rand::random);
+    let holders = peers.members.borrow().holders(gateway.now(), key);
+    if holders.is_empty() {
+        return None;
+    }
+    let query_id = peers.new_query_id();
+    let (completion, completed) = oneshot::channel();
+    let query = PendingQuery {
+        outstanding: holders.len(),
+        completion,
+    };
+    let queries = &peers.stream_news.pending_queries;
+    queries.borrow_mut().insert(query_id, query);
+    let mut message = stream_message(gateway);
+    message.stream_query_id = query_id;
+    let services = route.shares.iter().map(|share| share.service.to_string());
+    message.stream_query = Some(StreamQueryMessage {
+        stream,
+        services: services.collect(),
+    });
+    send_to(gateway, MessageKind::StreamQuery, message, &holders).await;
+    let reply = verbenahinge_http::timeout(STREAM_QUERY_TIMEOUT, completed).await;
+    queries.borrow_mut().remove(&query_id);
+    if let Ok(Ok(origin)) = reply {
+        return origin;
+    }
+    log::debug!("not all VMs have told in time where stream {key:016x} began");
+    None
+}
+
+/// Handles a message that tells where streams began, that asks for it, or that replies to a query.
+pub(super) fn handle_streams(gateway: &Rc<Gateway>, from: IpAddr, message: &PeerMessage) {
+    let now = gateway.now();
+    let streams = message.streams.iter();
+    let origins: Vec<StreamOrigin> = streams.map(|stream| stream.into_origin()).collect();
+    if message.stream_query_id == 0 && !origins.is_empty() {
+        gateway
+            .state
+            .borrow_mut()
+            .merge_stream_origins(now, &origins);
+    }
+    let query_id = message.stream_query_id;
+    if query_id == 0 {
+        return;
+    }
+    let Some(query) = &message.stream_query else {
+        complete_query(gateway, query_id, origins.first().copied());
+        return;
+    };
+    let mut reply = stream_message(gateway);
+    reply.stream_query_id = query_id;
+    let origin = known_origin(gateway, query.stream, &query.services);
+    reply.streams = origin.into_iter().map(StreamMessage::from_origin).collect();
+    let gateway = Rc::clone(gateway);
+    actix_rt::spawn(async move {
+        send_to(&gateway, MessageKind::StreamReply, reply, &[from]).await;
+    });
+}
+
+/// Where a stream of a route with the given services began, as far as this VM knows.
+fn known_origin(
+    gateway: &Gateway,
+    stream: Option<StreamId>,
+    services: &[String],
+) -> Option<StreamOrigin> {
+    let now = gateway.now();
+    let state = gateway.state.borrow();
+    let told = stream.and_then(|stream| state.stream_origins().origin(now, stream));
+    told.or_else(|| {
+        let [service] = services else {
+            return None;
+        };
+        let sole = state.sole_origin(now, service, stream.unwrap_or_default());
+        sole.filter(|_| has_current_registry(gateway))
+    })
+}
+
+fn complete_query(gateway: &Gateway, query_id: u64, origin: Option<StreamOrigin>) {
+    let mut queries = gateway.peers.stream_news.pending_queries.borrow_mut();
+    let Some(query) = queries.get_mut(&query_id) else {
+        return;
+    };
+    query.outstanding = query.outstanding.saturating_sub(1);
+    if origin.is_none() && query.outstanding > 0 {
+        return;
+    }
+    if let Some(query) = queries.remove(&query_id)
+        && query.completion.send(origin).is_err()
+    {
+        log::debug!("stream query {query_id} timed out before its reply");
+    }
+}
--- a/crates/verbenahinge/src/gateway/relay.rs
+++ b/crates/verbenahinge/src/gateway/relay.rs
@@ -130,6 +130,9 @@
 
 /// Serves a request whose response is a stream of events.
 pub(super) async fn serve(mut handler: RequestHandler) -> CallerResponse {
+    if let Err(reason) = handler.find_stream_version().await {
+        return handler.respond_unserved(Unserved::Unplaced(reason));
+    }
     let last_event = handler.request.last_event;
     let result = handler
         .run_attempts(
@@ -143,6 +146,7 @@
         Ok((_, ServerReply::Stream(stream, first_item))) => {
             if let StreamItem::Event(_) = &first_item {
                 handler.note_first_event();
+                handler.note_stream_version(stream.version());
             }
             start_response(handler, stream, first_item)
         }
--- a/crates/verbenahinge/src/gateway/request_handler.rs
+++ b/crates/verbenahinge/src/gateway/request_handler.rs
@@ -3,6 +3,7 @@
 pub(crate) mod attempts;
 mod crashes;
 mod final_response;
+mod stream_version;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -138,9 +139,11 @@
         let mut state = self.gateway.state.borrow_mut();
         match state.choose_among(now, &self.call, &ranked) {
             // The ranked servers have left or paused in the meantime.
-            Err(PlacementError::NoServer | PlacementError::Limited(_)) => {
-                state.choose_server(now, &self.call, excluded)
-            }
+            Err(
+                PlacementError::NoServer
+                | PlacementError::NoServerOfVersion
+                | PlacementError::Limited(_),
+            ) => state.choose_server(now, &self.call, excluded),
             choice => choice,
         }
     }
--- a/crates/verbenahinge/src/gateway/request_handler/final_response.rs
+++ b/crates/verbenahinge/src/gateway/request_handler/final_response.rs
@@ -39,7 +39,9 @@
     /// Responds to a request for which no server could be selected.
     fn respond_unplaced(self, reason: PlacementError) -> CallerResponse {
         let excess = match reason {
-            PlacementError::NoServer => NO_SERVER_RETRY_DELAY,
+            PlacementError::NoServer
+            | PlacementError::NoServerOfVersion
+            | PlacementError::UnknownVersion => NO_SERVER_RETRY_DELAY,
             PlacementError::Limited(wait) => wait.min(self.call.time_left(self.gateway.now())),
             PlacementError::TooLate(wait) | PlacementError::Yields(wait) => {
                 wait.saturating_sub(self.call.route.latency_target)
--- a/crates/verbenahinge/src/gateway/server_stream.rs
+++ b/crates/verbenahinge/src/gateway/server_stream.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{HeaderMap, StatusCode};
+use verbenahinge_core::gateway::SoftwareVersion;
 use verbenahinge_core::{FailureKind, ServerName, Timestamp};
 
 use super::Gateway;
@@ -52,6 +53,11 @@
         &self.response.headers
     }
 
+    /// Software version of the server.
+    pub(super) const fn version(&self) -> SoftwareVersion {
+        self.response.version
+    }
+
     /// Returns whether the end of the stream may also be that of a lost connection.
     pub(super) fn ends_with_connection(&self) -> bool {
         self.response.ends_with_connection()
--- a/crates/verbenahinge/src/gateway/watch.rs
+++ b/crates/verbenahinge/src/gateway/watch.rs
@@ -139,6 +139,11 @@
         }
     }
 
+    /// Whether another VM is known to have a newer replica.
+    pub(crate) fn is_behind(&self, feed: Feed) -> bool {
+        self.newer_source(feed).is_some()
+    }
+
     /// Returns a VM whose replica is newer, and forgets a recorded version that has been applied.
     fn newer_source(&self, feed: Feed) -> Option<IpAddr> {
         let newer = self.newer_versions.borrow().get(&feed).copied()?;
--- a/crates/verbenahinge/src/gateway/watch/row_changes.rs
+++ b/crates/verbenahinge/src/gateway/watch/row_changes.rs
@@ -178,11 +178,13 @@
     let entry = state.registry().get(id);
     let service = entry.map_or("-", |entry| &*entry.service);
     let address = entry.map_or_else(|| "-".to_owned(), |entry| entry.address.to_string());
+    let software = entry.and_then(|entry| entry.software.as_deref());
     LogEvent::ServerListed.log(&[
         ("server", &id),
         ("change", &change),
         ("service", &service),
         ("address", &address),
+        ("software", &software.unwrap_or("-")),
         ("source", &origin.source()),
         ("peer", &origin.peer_text()),
         ("table_version", &origin.version.number),
