--- a/crates/verbenahinge-emulator/src/scripted_server.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server.rs
@@ -19,6 +19,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::io;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -84,6 +85,11 @@
     });
     loop {
         match listener.accept().await {
+            Ok((stream, from)) if server.cuts_off(from.ip()) => {
+                if let Err(error) = stream.set_zero_linger() {
+                    log::warn!("scripted server: failed to reset a connection: {error}");
+                }
+            }
             Ok((stream, _)) => {
                 let server = Rc::clone(&server);
                 actix_rt::spawn(async move {
@@ -131,6 +137,12 @@
                 ("PUT", FAULTS_PATH) => self.set_faults(&mut stream, &request).await?,
                 ("GET", RUNS_PATH) => send_records(&mut stream, &self.executed_requests).await?,
                 ("GET", ARRIVALS_PATH) => send_records(&mut stream, &self.arrivals).await?,
+                _ if self.faults.borrow().cuts_open_connections
+                    && self.cuts_off(stream.peer_addr()?.ip()) =>
+                {
+                    stream.set_zero_linger()?;
+                    return Ok(());
+                }
                 _ => {
                     self.handle_request(&mut stream, &request, connection, &mut last_fault)
                         .await?
@@ -143,6 +155,10 @@
         Ok(())
     }
 
+    fn cuts_off(&self, client: IpAddr) -> bool {
+        self.faults.borrow().cut_off == Some(client)
+    }
+
     async fn set_faults(
         &self,
         stream: &mut TcpStream,
--- a/crates/verbenahinge-emulator/src/scripted_server/server_faults.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/server_faults.rs
@@ -1,5 +1,7 @@
 //! Faults and timing.
 
+use std::net::IpAddr;
+
 use serde::{Deserialize, Serialize};
 
 use super::{Framing, ServerFault};
@@ -28,6 +30,10 @@
     pub reject_delay_ms: u64,
     /// How a complete response, or one that is cut off, tells its end.
     pub framing: Framing,
+    /// Client whose new connections are reset at once, as by a network that cuts it off.
+    pub cut_off: Option<IpAddr>,
+    /// Whether open connections of that client are reset too.
+    pub cuts_open_connections: bool,
     /// Status of plain responses; 0 means 200. Responses with 204 or 304 have no body.
     pub status: u16,
 }
--- a/crates/verbenahinge-http/src/connect.rs
+++ b/crates/verbenahinge-http/src/connect.rs
@@ -1,11 +1,11 @@
 //! Outgoing TCP connections with keepalive, so that an unresponsive peer is detected.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 /// Idle time before the first keepalive probe; short enough that several probes fit into the time
 /// within which a lost peer has to be detected.
@@ -28,12 +28,37 @@
 /// Returns an error if the connection cannot be opened or configured, with the kind
 /// [`io::ErrorKind::TimedOut`] if it was not established within `timeout`.
 pub async fn connect(address: SocketAddr, timeout: Duration) -> io::Result<TcpStream> {
-    let stream = crate::timeout(timeout, TcpStream::connect(address))
-        .await
-        .map_err(|_| {
-            let message = format!("{address} did not accept a connection within {timeout:?}");
-            io::Error::new(io::ErrorKind::TimedOut, message)
-        })??;
+    configure(address, timeout, TcpStream::connect(address)).await
+}
+
+/// Opens a connection like [`connect`], from the given address of this machine.
+///
+/// # Errors
+///
+/// Returns the errors of [`connect`], or an error if the machine does not have the address.
+pub async fn connect_from(
+    source: IpAddr,
+    address: SocketAddr,
+    timeout: Duration,
+) -> io::Result<TcpStream> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    configure(address, timeout, socket.connect(address)).await
+}
+
+async fn configure(
+    address: SocketAddr,
+    timeout: Duration,
+    connecting: impl Future<Output = io::Result<TcpStream>>,
+) -> io::Result<TcpStream> {
+    let stream = crate::timeout(timeout, connecting).await.map_err(|_| {
+        let message = format!("{address} did not accept a connection within {timeout:?}");
+        io::Error::new(io::ErrorKind::TimedOut, message)
+    })??;
     stream.set_nodelay(true)?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
--- a/crates/verbenahinge-http/src/lib.rs
+++ b/crates/verbenahinge-http/src/lib.rs
@@ -26,7 +26,7 @@
 mod timeout;
 
 pub use self::body::{BodyError, read_body, read_json};
-pub use self::connect::connect;
+pub use self::connect::{connect, connect_from};
 pub use self::headers::header_text;
 pub use self::response::{HttpResponse, empty, json, text};
 pub use self::server::{HttpRequest, Server};
--- a/crates/verbenahinge/src/gateway.rs
+++ b/crates/verbenahinge/src/gateway.rs
@@ -139,6 +139,7 @@
     if settings.is_first_start {
         state.mark_first_start();
     }
+    let ip = settings.ip;
     let response_memory = ResponseMemory::new(settings.memory_mb);
     let clock = Clock::new();
     let peers = Peers::bind(clock.now(), &settings).await?;
@@ -156,7 +157,7 @@
         clock,
         state: RefCell::new(state),
         caller_limits: LimitsFeed::new(),
-        connections: Rc::default(),
+        connections: Rc::new(ConnectionPool::new(ip)),
         metrics: GatewayMetrics::new(),
         peers,
         replicas: Replicas::new(),
--- a/crates/verbenahinge/src/gateway/connection_pool.rs
+++ b/crates/verbenahinge/src/gateway/connection_pool.rs
@@ -7,7 +7,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -43,8 +43,9 @@
 }
 
 /// Idle connections by server name and address.
-#[derive(Default)]
 pub(crate) struct ConnectionPool {
+    /// Address of this VM.
+    source: IpAddr,
     idle: RefCell<BTreeMap<(ServerName, SocketAddr), Vec<IdleConnection>>>,
 }
 
@@ -59,6 +60,14 @@
 }
 
 impl ConnectionPool {
+    /// Creates an empty pool for connections from the given address of this VM.
+    pub(crate) const fn new(source: IpAddr) -> Self {
+        Self {
+            source,
+            idle: RefCell::new(BTreeMap::new()),
+        }
+    }
+
     /// Returns an idle connection to a server, or opens a new one.
     pub(crate) async fn acquire(
         self: &Rc<Self>,
@@ -87,7 +96,7 @@
         server: &ServerName,
         address: SocketAddr,
     ) -> io::Result<PooledConnection> {
-        let stream = verbenahinge_http::connect(address, CONNECT_TIMEOUT).await?;
+        let stream = verbenahinge_http::connect_from(self.source, address, CONNECT_TIMEOUT).await?;
         // Closing the connection drops what the link has not taken yet: nobody waits for it any more.
         stream.set_zero_linger()?;
         let (sender, connection) = http1::Builder::new()
