fix(core): servers that accept no connection stay unused while others accept

What callers saw: at a VM that is cut off from most servers, each request waited 0.4 s for a connection that did not open, though other servers were in reach.

Change: ejections of servers whose last failure was a connection that did not open hold for as long as another server is usable. If none is, all are tried, as before. unreachable_majority_is_used failed before: a server out of reach was chosen for the second request.

--- a/crates/verbenahinge-core/src/gateway/backend.rs
+++ b/crates/verbenahinge-core/src/gateway/backend.rs
@@ -229,6 +229,12 @@
         self.health.ejection_left(now)
     }
 
+    /// Whether the server is ejected because it accepted no connection from this VM.
+    #[must_use]
+    pub fn is_unreachable(&self, now: Timestamp) -> bool {
+        self.is_ejected(now) && self.health.is_unreachable()
+    }
+
     /// Time until the server may get a request from this VM again; `None` if it may now.
     #[must_use]
     pub fn limit_wait(&self) -> Option<Duration> {
--- a/crates/verbenahinge-core/src/gateway/backend/health.rs
+++ b/crates/verbenahinge-core/src/gateway/backend/health.rs
@@ -27,6 +27,8 @@
     failures: u32,
     ejections: u32,
     ejected_until: Option<Timestamp>,
+    /// Whether the server was ejected because it accepted no connection.
+    is_unreachable: bool,
 }
 
 impl Health {
@@ -37,6 +39,7 @@
             failures: 0,
             ejections: 0,
             ejected_until: None,
+            is_unreachable: false,
         }
     }
 
@@ -59,6 +62,7 @@
         }
         self.failures += 1;
         let immediate = kind == FailureKind::ConnectFailed;
+        self.is_unreachable = immediate;
         if !immediate && self.failures < EJECTION_FAILURE_THRESHOLD {
             return false;
         }
@@ -75,6 +79,11 @@
         (!left.is_zero()).then_some(left)
     }
 
+    /// Whether the latest failure was that the server accepted no connection.
+    pub(super) const fn is_unreachable(&self) -> bool {
+        self.is_unreachable
+    }
+
     /// Moving average of the share of requests that failed.
     pub(super) const fn error_rate(&self) -> f64 {
         self.error_rate
--- a/crates/verbenahinge-core/src/gateway/placement.rs
+++ b/crates/verbenahinge-core/src/gateway/placement.rs
@@ -137,8 +137,13 @@
             }
         }
         // If more than half of the candidates are ejected, the fault is likely on this VM, so the
-        // ejections are ignored. Servers that pause have answered this VM.
+        // ejections are ignored, but for servers that accept no connection while others do. Servers
+        // that pause have answered this VM.
         if (usable.len() + paused) * 2 < open.len() + paused {
+            let now = self.now;
+            if !usable.is_empty() {
+                open.retain(|candidate| !candidate.backend.is_unreachable(now));
+            }
             usable = open;
         }
         if usable.is_empty() {
