fix(gateway): connections that are not opened spend no retry

A connection that is not opened reaches none, but each further try spent a retry; a VM with few requests has about seven in ten seconds. The log did not say why a request was not tried again.

Change: the first three connections of a request that fail cost nothing; further ones spend retries as before.

--- a/crates/verbenahinge/src/gateway/request_handler.rs
+++ b/crates/verbenahinge/src/gateway/request_handler.rs
@@ -59,6 +59,8 @@
     tried_servers: Vec<ServerName>,
     /// Number of attempts, without those that failed to connect.
     attempt_count: u32,
+    /// Number of attempts that failed to connect.
+    connect_failures: u32,
     verdict: Verdict,
     first_event_at: Option<Timestamp>,
     choice: Option<ServerChoice>,
@@ -75,6 +77,7 @@
             request: Rc::new(request),
             tried_servers: Vec::new(),
             attempt_count: 0,
+            connect_failures: 0,
             verdict: Verdict::NotRun,
             first_event_at: None,
             choice: None,
--- a/crates/verbenahinge/src/gateway/request_handler/attempts.rs
+++ b/crates/verbenahinge/src/gateway/request_handler/attempts.rs
@@ -18,8 +18,8 @@
 /// Failure of a server that has answered.
 const SERVER_ERROR: AttemptError = AttemptError::Failed(FailureKind::ServerError);
 
-/// Failure of an attempt that has not begun.
-const NOT_SENT: AttemptError = AttemptError::Failed(FailureKind::NotSent);
+/// Failed connections of one request after which another attempt still costs no retry.
+const MAX_FREE_CONNECTS: u32 = 3;
 
 /// How a request continues after a failed attempt.
 pub(crate) enum RetryDecision {
@@ -43,6 +43,8 @@
     Crashes,
     /// The retry budget is used up.
     Budget,
+    /// Another attempt is in flight.
+    Running,
 }
 
 /// Why no attempt produced a response to forward.
@@ -64,16 +66,39 @@
         let AttemptError::Failed(kind) = error else {
             return RetryDecision::GiveUp(error);
         };
-        if kind == FailureKind::NotSent && self.response_deadline() > self.gateway.now() {
-            // The attempt that was allowed has not been made yet.
-            return RetryDecision::Retry;
-        }
-        match self.try_spend_retry(kind) {
+        let retry = if self.may_try_free(kind) {
+            Ok(())
+        } else {
+            self.try_spend_retry(kind)
+        };
+        self.log_failure(server, kind, retry);
+        match retry {
             Ok(()) => RetryDecision::Retry,
             Err(_) => RetryDecision::GiveUp(error),
         }
     }
 
+    /// Whether another attempt costs the servers nothing, as the failed one has not reached any.
+    fn may_try_free(&self, kind: FailureKind) -> bool {
+        let is_free = match kind {
+            FailureKind::NotSent => true,
+            FailureKind::ConnectFailed => self.connect_failures <= MAX_FREE_CONNECTS,
+            _ => false,
+        };
+        is_free && self.response_deadline() > self.gateway.now()
+    }
+
+    fn log_failure(&self, server: &ServerName, kind: FailureKind, retry: Result<(), NoRetry>) {
+        LogEvent::AttemptFailed.log(&[
+            ("request_id", &self.log_id()),
+            ("server", server),
+            ("failure", &kind),
+            ("attempt", &self.attempt_count),
+            ("after_ms", &self.elapsed_ms()),
+            ("retry", &retry.map_or_else(Into::<&str>::into, |()| "yes")),
+        ]);
+    }
+
     /// Records a failed attempt.
     fn record_failure(&mut self, server: &ServerName, error: AttemptError) {
         let AttemptError::Failed(kind) = error else {
@@ -84,13 +109,9 @@
         if matches!(kind, FailureKind::ConnectFailed | FailureKind::NotSent) {
             self.attempt_count = self.attempt_count.saturating_sub(1);
         }
-        LogEvent::AttemptFailed.log(&[
-            ("request_id", &self.log_id()),
-            ("server", server),
-            ("failure", &kind),
-            ("attempt", &self.attempt_count),
-            ("after_ms", &self.elapsed_ms()),
-        ]);
+        if kind == FailureKind::ConnectFailed {
+            self.connect_failures += 1;
+        }
         if kind != FailureKind::NotSent {
             self.note_server_failure(server, kind);
         }
@@ -214,13 +235,19 @@
             if was_silent && !race.is_empty() && error != AttemptError::TimeUp {
                 // The next attempt began when the server fell silent.
                 self.record_failure(&server, error);
+                if let AttemptError::Failed(kind) = error {
+                    self.log_failure(&server, kind, Err(NoRetry::Running));
+                }
                 needs_attempt = false;
                 continue;
             }
             match self.handle_failure(&server, error) {
                 RetryDecision::Retry => {
                     needs_attempt = true;
-                    is_retry_spent |= error != NOT_SENT;
+                    is_retry_spent |= !matches!(
+                        error,
+                        AttemptError::Failed(FailureKind::NotSent | FailureKind::ConnectFailed)
+                    );
                     last_response = output.filter(|_| error == SERVER_ERROR);
                 }
                 RetryDecision::GiveUp(AttemptError::Failed(_)) if !race.is_empty() => {
--- a/crates/verbenahinge/tests/cut_off_vms.rs
+++ b/crates/verbenahinge/tests/cut_off_vms.rs
@@ -175,3 +175,21 @@
     actix_rt::time::sleep(Duration::from_secs(4)).await;
     assert!(!fleet.runs_of_request("s1").await[0].is_complete);
 }
+
+/// Guards against connections that are not opened and use up the retries that other requests need.
+#[actix_rt::test]
+async fn refused_connections_spend_retries() {
+    let mut fleet = start(2).await;
+    for server in 1..SERVERS {
+        fleet.server_process(server).kill();
+    }
+    for round in 0..10 {
+        let requests: Vec<_> = (0..12)
+            .map(|count| request(format!("r{round}-{count}"), "/once/x"))
+            .collect();
+        let responses = join_all(requests.iter().map(|request| fleet.call(0, request))).await;
+        let statuses: Vec<_> = responses.iter().map(|response| response.status).collect();
+        assert!(statuses.iter().all(|&status| status == 200), "{statuses:?}");
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+    }
+}
