fix(gateway): a VM that is cut off from the servers hands its requests over

Change: a VM at which new connections to two servers fail probes three, and if none accepts, hands requests that have reached no server over to a VM that is not cut off, over the TCP port that has the number of the message port. That VM handles them as its own and does not hand them over again. Events 412, 413 and 517. Requests that may run once are handed over too, since nothing has received them. The number of keepalive probes is no longer set, as the kernel ignores it beside TCP_USER_TIMEOUT.

--- a/crates/verbenahinge-core/src/gateway.rs
+++ b/crates/verbenahinge-core/src/gateway.rs
@@ -26,6 +26,7 @@
 mod retry_window;
 mod routing;
 mod server_order;
+mod server_reach;
 mod server_start;
 mod software_history;
 mod software_version;
@@ -60,6 +61,7 @@
     ServiceName, TrafficShare,
 };
 pub use self::server_order::ServerOrder;
+pub use self::server_reach::ServerReach;
 pub use self::server_start::ServerStart;
 pub use self::software_history::SoftwareHistory;
 pub use self::software_version::{SoftwareName, SoftwareVersion};
--- a/crates/verbenahinge-core/src/gateway/retry_window.rs
+++ b/crates/verbenahinge-core/src/gateway/retry_window.rs
@@ -42,6 +42,11 @@
         self.requests.push_back(now);
     }
 
+    /// Removes the latest request, which another VM counts.
+    pub fn forget_request(&mut self) {
+        self.requests.pop_back();
+    }
+
     /// Number of requests of callers since a time within the window.
     #[must_use]
     pub fn requests_since(&self, since: Timestamp) -> u32 {
--- a/crates/verbenahinge-core/src/gateway/state/retries.rs
+++ b/crates/verbenahinge-core/src/gateway/state/retries.rs
@@ -15,6 +15,13 @@
             .try_spend(now, vm_count)
     }
 
+    /// Removes the call from the window of its service, since another VM counts it.
+    pub fn forget_arrival(&mut self, call: &Call) {
+        if let Some(window) = self.retry_windows.get_mut(&call.service) {
+            window.forget_request();
+        }
+    }
+
     /// Removes a retry of the call from the window of its service, since no server was found for it.
     pub fn refund_retry(&mut self, call: &Call) {
         if let Some(window) = self.retry_windows.get_mut(&call.service) {
--- a/crates/verbenahinge-core/tests/server_reach.rs
+++ b/crates/verbenahinge-core/tests/server_reach.rs
@@ -1,4 +1,4 @@
-//! Servers that accept no connection from this VM.
+//! Servers that accept no connection from this VM: whether it is cut off, and which servers it uses.
 
 #[path = "support/services.rs"]
 mod services;
@@ -6,11 +6,43 @@
 use std::time::Duration;
 
 use verbenahinge_core::FailureKind;
+use verbenahinge_core::gateway::{ServerReach, ServiceName};
 
 const NOW: Duration = Duration::from_secs(1);
 
 const SERVERS: usize = 4;
 
+/// Guards against a VM that takes crashed servers for a cut of its own links, and the other way round.
+#[test]
+fn cut_needs_probes() {
+    let service: ServiceName = "service".into();
+    let mut reach = ServerReach::default();
+    assert!(!reach.note_failed(&service, &"s1".into(), 4));
+    assert!(!reach.note_failed(&service, &"s1".into(), 4));
+    // One success of any server tells that the path is there.
+    assert!(!reach.note_connected(&service));
+    assert!(!reach.note_failed(&service, &"s2".into(), 4));
+    assert!(reach.note_failed(&service, &"s1".into(), 4));
+    assert!(!reach.note_failed(&service, &"s3".into(), 4));
+    assert!(!reach.is_cut_off(&service));
+    assert!(reach.note_probes_failed(&service));
+    assert!(!reach.note_probes_failed(&service));
+    assert!(reach.is_cut_off(&service));
+    assert_eq!(reach.cut_off_services().collect::<Vec<_>>(), [&service]);
+    assert!(reach.note_connected(&service));
+    assert!(!reach.is_cut_off(&service));
+    // A request has reached a server while the probes failed.
+    assert!(!reach.note_probes_failed(&service));
+    assert!(!reach.end_probes(&service));
+}
+
+/// A service with one server has no second one to fail.
+#[test]
+fn single_server_is_probed() {
+    let mut reach = ServerReach::default();
+    assert!(reach.note_failed(&"service".into(), &"s1".into(), 1));
+}
+
 /// Guards against requests that wait for connections to servers out of reach although others accept them.
 #[test]
 fn unreachable_majority_is_used() {
--- a/crates/verbenahinge-http/src/connect.rs
+++ b/crates/verbenahinge-http/src/connect.rs
@@ -14,11 +14,9 @@
 /// Time between two keepalive probes; the kernel accepts whole seconds only.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Unacknowledged keepalive probes after which the kernel closes the connection.
-const KEEPALIVE_PROBES: u32 = 2;
-
-/// Time for which sent data may stay unacknowledged before the kernel closes the connection
-/// (`TCP_USER_TIMEOUT`).
+/// Time for which sent data or keepalive probes may stay unacknowledged before the kernel closes the
+/// connection (`TCP_USER_TIMEOUT`). It takes the place of a number of probes, which the kernel ignores
+/// beside it: an idle connection ends with the first probe that is due after this time.
 const USER_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// Opens a TCP connection that detects the loss of its peer within a few seconds, even when idle.
@@ -62,8 +60,7 @@
     stream.set_nodelay(true)?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_PROBES);
+        .with_interval(KEEPALIVE_INTERVAL);
     let socket = SockRef::from(&stream);
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
--- a/crates/verbenahinge/src/event_log.rs
+++ b/crates/verbenahinge/src/event_log.rs
@@ -70,6 +70,10 @@
     ServerLeaving = 410,
     /// A backend server named a time in which it wants no requests from this VM.
     ServerPaused = 411,
+    /// This VM can open no connection to any server of a service.
+    ServersUnreached = 412,
+    /// This VM reaches the servers of a service again.
+    ServersReached = 413,
     /// A request or a prompt part is blamed for crashes of servers.
     CrashBlamed = 420,
     /// A request or a prompt part is no longer blamed for crashes.
@@ -92,6 +96,8 @@
     RetryUnplaced = 515,
     /// A caller came back for the rest of a stream.
     StreamReturned = 516,
+    /// A request was handed over to another VM.
+    RequestRelayed = 517,
     /// The link to a peer was lost, or the peer announced its shutdown.
     PeerLost = 600,
     /// A link to a peer was established.
@@ -132,6 +138,7 @@
             | Self::CrashBlamed
             | Self::DigestUnreadable
             | Self::ServerEjected
+            | Self::ServersUnreached
             | Self::RequestQuarantined
             | Self::PeerLost => log::Level::Warn,
             Self::RequestRefused => log::Level::Debug,
--- a/crates/verbenahinge/src/gateway.rs
+++ b/crates/verbenahinge/src/gateway.rs
@@ -18,7 +18,9 @@
 mod frontend;
 mod metrics;
 mod peer_message;
+mod peer_relay;
 mod peers;
+mod reach;
 mod read_first_timer;
 mod relay;
 mod request_handler;
@@ -40,7 +42,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use verbenahinge_core::Timestamp;
-use verbenahinge_core::gateway::{Feed, GatewayState};
+use verbenahinge_core::gateway::{Feed, GatewayState, ServerReach};
 use verbenahinge_platform::node_file::VmSettings;
 use verbenahinge_platform::store::StoreClient;
 
@@ -48,6 +50,7 @@
 use self::connection_pool::ConnectionPool;
 use self::crash_check::{BlameSource, CrashChecks};
 use self::crash_store::CrashStore;
+use self::frontend::Ingress;
 use self::metrics::GatewayMetrics;
 use self::peers::Peers;
 use self::response_memory::ResponseMemory;
@@ -71,6 +74,7 @@
     pub(crate) state: RefCell<GatewayState>,
     pub(crate) caller_limits: LimitsFeed,
     pub(crate) connections: Rc<ConnectionPool>,
+    pub(crate) reach: RefCell<ServerReach>,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) peers: Peers,
     pub(crate) replicas: Replicas,
@@ -134,12 +138,14 @@
         Some(address) => Some(bind(address).await?),
         None => None,
     };
+    // Other VMs hand requests over on the TCP port of the same number as that of their messages.
+    let ip = settings.ip;
+    let peer_listener = bind(SocketAddr::new(ip, settings.peer_port)).await?;
     let vm = rand::random();
     let mut state = GatewayState::new(vm, settings.availability_zone.clone(), settings.bounds);
     if settings.is_first_start {
         state.mark_first_start();
     }
-    let ip = settings.ip;
     let response_memory = ResponseMemory::new(settings.memory_mb);
     let clock = Clock::new();
     let peers = Peers::bind(clock.now(), &settings).await?;
@@ -158,6 +164,7 @@
         state: RefCell::new(state),
         caller_limits: LimitsFeed::new(),
         connections: Rc::new(ConnectionPool::new(ip)),
+        reach: RefCell::default(),
         metrics: GatewayMetrics::new(),
         peers,
         replicas: Replicas::new(),
@@ -195,7 +202,11 @@
     spawn_task(&gateway, "settings", watch_settings);
     let listener = Rc::new(listener);
     spawn_task(&gateway, "callers", move |gateway| {
-        frontend::run(gateway, Rc::clone(&listener))
+        frontend::run(gateway, Rc::clone(&listener), Ingress::Callers)
+    });
+    let peer_listener = Rc::new(peer_listener);
+    spawn_task(&gateway, "relayed", move |gateway| {
+        frontend::run(gateway, Rc::clone(&peer_listener), Ingress::Peers)
     });
     let ready_listener = Rc::new(ready_listener);
     spawn_task(&gateway, "ready", move |gateway| {
--- a/crates/verbenahinge/src/gateway/attempt.rs
+++ b/crates/verbenahinge/src/gateway/attempt.rs
@@ -16,8 +16,9 @@
 use verbenahinge_platform::http_headers::{self, ForwardHeaders, ServerHeaders};
 
 use super::connection_pool::PooledConnection;
+use super::frontend::Ingress;
 use super::response_memory::ResponseBuffer;
-use super::{Gateway, peers};
+use super::{Gateway, peers, reach};
 use crate::event_log::LogEvent;
 
 /// A request as the caller sent it, with its complete body.
@@ -30,6 +31,7 @@
     pub(crate) last_event: Option<u64>,
     /// ID of the request that brought the first event of the stream that is resumed.
     pub(crate) resumed_request: Option<String>,
+    pub(crate) ingress: Ingress,
 }
 
 /// Why an attempt produced no response to forward.
@@ -131,7 +133,14 @@
             } else {
                 self.connections.acquire(server, entry.address).await
             };
-            let mut connection = acquired.map_err(|_| failed(FailureKind::ConnectFailed))?;
+            let mut connection = match acquired {
+                Ok(connection) => connection,
+                Err(error) => {
+                    log::debug!("failed to connect to server {server}: {error}");
+                    reach::note_failed(self, &entry);
+                    return Err(failed(FailureKind::ConnectFailed));
+                }
+            };
             if !self.state.borrow().may_send_to(self.now(), &entry) {
                 return Err(failed(FailureKind::NotSent));
             }
@@ -168,6 +177,9 @@
                         needs_new_connection = true;
                         continue;
                     }
+                    if is_new && !error.error().is_parse() {
+                        reach::note_failed(self, &entry);
+                    }
                     let kind = if error.message().is_some() {
                         FailureKind::ConnectFailed
                     } else if error.error().is_parse() {
@@ -178,6 +190,9 @@
                     return Err(failed(kind));
                 }
             };
+            if is_new {
+                reach::note_connected(self, &entry.service);
+            }
             let (parts, body) = response.into_parts();
             let head = http_headers::decode_server_response(parts.status.as_u16(), &parts.headers);
             self.record_head(&entry, sent_at, &head);
--- a/crates/verbenahinge/src/gateway/connection_pool.rs
+++ b/crates/verbenahinge/src/gateway/connection_pool.rs
@@ -36,6 +36,9 @@
 /// Maximum wait for a reused connection to become ready for the next request.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
 
+/// Time in which the reset of a new connection arrives: a few network round trips.
+const KEPT_CHECK_DELAY: Duration = Duration::from_millis(20);
+
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
@@ -160,6 +163,15 @@
         self.sender.as_mut()
     }
 
+    /// Whether the server keeps a connection that carries no request yet: servers that take no more
+    /// connections, and networks that cut a VM off, reset it at once.
+    pub(crate) async fn is_kept(&mut self) -> bool {
+        actix_rt::time::sleep(KEPT_CHECK_DELAY).await;
+        self.sender
+            .as_ref()
+            .is_some_and(|sender| !sender.is_closed())
+    }
+
     async fn wait_ready(&mut self) -> bool {
         let Some(sender) = &mut self.sender else {
             return false;
--- a/crates/verbenahinge/src/gateway/frontend.rs
+++ b/crates/verbenahinge/src/gateway/frontend.rs
@@ -43,13 +43,22 @@
 /// Delay before the next accept after a failed one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Accepts connections from callers.
-pub(super) async fn run(gateway: Rc<Gateway>, listener: Rc<TcpListener>) {
+/// Who opens the connections that a listener accepts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Ingress {
+    /// Callers.
+    Callers,
+    /// Other VMs, which hand over requests of their callers.
+    Peers,
+}
+
+/// Accepts connections from callers, or from VMs that hand over their requests.
+pub(super) async fn run(gateway: Rc<Gateway>, listener: Rc<TcpListener>, ingress: Ingress) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let gateway = Rc::clone(&gateway);
-                actix_rt::spawn(serve_connection(gateway, stream));
+                actix_rt::spawn(serve_connection(gateway, stream, ingress));
             }
             Err(error) => {
                 LogEvent::AcceptFailed.log(&[("cause", &error)]);
@@ -59,7 +68,7 @@
     }
 }
 
-async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream) {
+async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream, ingress: Ingress) {
     let open_count = &gateway.open_caller_connections;
     open_count.set(open_count.get() + 1);
     if let Err(error) = stream.set_nodelay(true) {
@@ -76,7 +85,7 @@
         let served = activity.begin_request();
         let gateway = Rc::clone(&gateway);
         async move {
-            let mut response = handle_request(&gateway, request).await;
+            let mut response = handle_request(&gateway, request, ingress).await;
             if gateway.caller_limits.limits().max_head_bytes > buffer_bytes {
                 announce_connection_close(&mut response);
             }
@@ -106,12 +115,16 @@
     open_count.set(open_count.get().saturating_sub(1));
 }
 
-async fn handle_request(gateway: &Rc<Gateway>, request: Request<Incoming>) -> CallerResponse {
+async fn handle_request(
+    gateway: &Rc<Gateway>,
+    request: Request<Incoming>,
+    ingress: Ingress,
+) -> CallerResponse {
     let guard = RequestGuard::new(gateway);
     let caller = http_headers::decode_caller_request(request.headers());
     let mut response = tokio::select! {
         biased;
-        response = respond(gateway, request, guard) => response,
+        response = respond(gateway, request, guard, ingress) => response,
         () = gateway.end_notify.notified() => reject(gateway, &caller, &RejectReason::Ending),
     };
     if gateway.is_draining.get() {
@@ -177,6 +190,7 @@
     gateway: &Rc<Gateway>,
     request: Request<Incoming>,
     guard: RequestGuard,
+    ingress: Ingress,
 ) -> CallerResponse {
     let read_at = gateway.now();
     let arrived = gateway.thread_holds.arrival_time(read_at);
@@ -264,6 +278,7 @@
         body,
         last_event: caller.last_event,
         resumed_request: caller.resumed_request,
+        ingress,
     };
     let handler = RequestHandler::new(guard, call, request);
     handler.serve().await
--- a/crates/verbenahinge/src/gateway/peer_message.rs
+++ b/crates/verbenahinge/src/gateway/peer_message.rs
@@ -5,6 +5,7 @@
 mod feed_message;
 mod leaving_message;
 mod limit_message;
+mod reach_message;
 mod stream_message;
 
 use std::collections::BTreeMap;
@@ -19,6 +20,7 @@
 pub(super) use self::feed_message::{DeltaMessage, FeedMessage, feed_from_number, feed_number};
 pub(super) use self::leaving_message::LeavingMessage;
 pub(super) use self::limit_message::LimitMessage;
+pub(super) use self::reach_message::ReachMessage;
 pub(super) use self::stream_message::{StreamMessage, StreamQueryMessage};
 
 /// Purpose of a message to another VM; the metrics use it as a label.
@@ -47,6 +49,8 @@
     Limit,
     /// Server that has said in an answer that it leaves.
     Leaving,
+    /// Services whose servers the sender cannot connect to.
+    Reach,
     /// Versions at which streams began.
     Stream,
     /// Query for the version at which a stream began.
@@ -114,6 +118,9 @@
     /// Whether a permit is granted, in a reply.
     #[prost(bool, tag = "18")]
     pub(super) is_permitted: bool,
+    /// Services whose servers the sender cannot connect to; absent if the message does not tell.
+    #[prost(message, optional, tag = "25")]
+    pub(super) reach: Option<ReachMessage>,
     /// Versions at which streams began.
     #[prost(message, repeated, tag = "22")]
     pub(super) streams: Vec<StreamMessage>,
--- a/crates/verbenahinge/src/gateway/peers.rs
+++ b/crates/verbenahinge/src/gateway/peers.rs
@@ -5,6 +5,7 @@
 mod leaving;
 mod load;
 mod permits;
+mod reach;
 mod streams;
 
 use std::cell::{Cell, RefCell};
@@ -34,6 +35,8 @@
 pub(super) use self::load::{query_load, send_load};
 use self::permits::handle_permit;
 pub(super) use self::permits::{push_limit, request_permit};
+use self::reach::{PeerReach, handle_reach, reach_message};
+pub(super) use self::reach::{push_reach, vms_in_reach};
 use self::streams::{StreamNews, handle_streams};
 pub(super) use self::streams::{find_version, push_streams};
 use super::peer_message::{LimitMessage, MessageKind, PeerMessage, pack_ip, unpack_ip};
@@ -59,6 +62,7 @@
     registered_era: Cell<Option<u64>>,
     crash_pushes: CrashPushes,
     stream_news: StreamNews,
+    reach: PeerReach,
     last_query_id: Cell<u64>,
     pending_queries: RefCell<BTreeMap<u64, PendingQuery>>,
     pending_permits: RefCell<BTreeMap<u64, oneshot::Sender<bool>>>,
@@ -80,6 +84,7 @@
             registered_era: Cell::new(None),
             crash_pushes: CrashPushes::default(),
             stream_news: StreamNews::default(),
+            reach: PeerReach::default(),
             last_query_id: Cell::new(0),
             pending_queries: RefCell::default(),
             pending_permits: RefCell::default(),
@@ -196,6 +201,7 @@
         if round.is_full {
             let reports = gateway.state.borrow().limit_reports(now);
             message.limits = reports.into_iter().map(LimitMessage::from_report).collect();
+            message.reach = Some(reach_message(&gateway));
         }
         send_to(&gateway, MessageKind::Digest, message, &round.receivers).await;
     }
@@ -284,6 +290,9 @@
         .apply_limit_reports(now, message.vm, &reports);
     handle_leaving(gateway, from, &message.leaving);
     handle_streams(gateway, from, &message);
+    if let Some(reach) = &message.reach {
+        handle_reach(gateway, from, reach);
+    }
     if message.permit_server > 0 {
         handle_permit(gateway, from, &message);
     } else if message.query_id > 0 {
--- a/crates/verbenahinge/src/gateway/relay.rs
+++ b/crates/verbenahinge/src/gateway/relay.rs
@@ -153,7 +153,7 @@
         Ok((server, ServerReply::Buffered(response))) => {
             handler.forward_response(&server, *response)
         }
-        Err(unserved) => handler.respond_unserved(buffered_only(unserved)),
+        Err(unserved) => handler.relay_or_respond(buffered_only(unserved)).await,
     }
 }
 
--- a/crates/verbenahinge/src/gateway/request_handler.rs
+++ b/crates/verbenahinge/src/gateway/request_handler.rs
@@ -11,6 +11,7 @@
 use verbenahinge_core::gateway::{Call, PlacementError, ServerChoice};
 use verbenahinge_core::{FailureKind, ServerName, Timestamp, Verdict};
 
+use self::attempts::Unserved;
 use self::crashes::CrashWatch;
 use super::Gateway;
 use super::attempt::{AttemptGuard, BufferedResponse, CallerRequest, response_timeout};
@@ -61,7 +62,7 @@
     attempt_count: u32,
     /// Number of attempts that failed to connect.
     connect_failures: u32,
-    verdict: Verdict,
+    pub(crate) verdict: Verdict,
     first_event_at: Option<Timestamp>,
     choice: Option<ServerChoice>,
     is_outcome_recorded: bool,
@@ -190,10 +191,26 @@
             .await;
         match result {
             Ok((server, response)) => self.forward_response(&server, response),
-            Err(unserved) => self.respond_unserved(unserved),
+            Err(unserved) => self.relay_or_respond(unserved).await,
         }
     }
 
+    /// Hands a request that could not be served over to another VM, or sends its final response.
+    pub(crate) async fn relay_or_respond(
+        self,
+        unserved: Unserved<BufferedResponse>,
+    ) -> CallerResponse {
+        match self.relay_if_cut_off().await {
+            Ok(response) => response,
+            Err(handler) => handler.respond_unserved(unserved),
+        }
+    }
+
+    /// Whether no server has received the request.
+    pub(crate) fn has_reached_no_server(&self) -> bool {
+        self.attempt_count == 0 && self.verdict == Verdict::NotRun
+    }
+
     fn start_buffered(&mut self, choice: &ServerChoice) -> RunningAttempt<BufferedResponse> {
         let guard = self.begin_attempt(choice);
         let can_retry = self.attempt_count < self.call.route.max_attempts;
@@ -259,7 +276,7 @@
         self.request.id.clone().unwrap_or_else(|| "-".to_owned())
     }
 
-    fn elapsed_ms(&self) -> u128 {
+    pub(crate) fn elapsed_ms(&self) -> u128 {
         let now = self.gateway.now();
         now.saturating_sub(self.call.arrived).as_millis()
     }
--- a/crates/verbenahinge/src/gateway/request_handler/crashes.rs
+++ b/crates/verbenahinge/src/gateway/request_handler/crashes.rs
@@ -53,9 +53,13 @@
         let cancellation = Rc::clone(&self.crash_watch.cancellation);
         let has_prompt = self.call.prompt.is_some();
         let mut served = Box::pin(async move {
-            match self.call.route.kind {
-                RouteKind::Stream => self.serve_stream().await,
-                RouteKind::Idempotent | RouteKind::AtMostOnce => self.serve_buffered().await,
+            let handler = match self.relay_if_cut_off().await {
+                Ok(response) => return response,
+                Err(handler) => handler,
+            };
+            match handler.call.route.kind {
+                RouteKind::Stream => handler.serve_stream().await,
+                RouteKind::Idempotent | RouteKind::AtMostOnce => handler.serve_buffered().await,
             }
         });
         let refusal = tokio::select! {
@@ -88,6 +92,11 @@
         self.record_outcome(outcome, None, Some(status), &detail);
     }
 
+    /// Notes that the request is about to be handed over to another VM, which may run it.
+    pub(crate) fn note_relayed(&self) {
+        self.crash_watch.cancellation.has_attempt.set(true);
+    }
+
     /// Notes that the request is about to be sent to a server.
     pub(super) fn note_attempt(&mut self, server: &ServerName) {
         let crash = self.gateway.state.borrow().crash_id(server);
--- a/crates/verbenahinge/src/gateway/request_handler/final_response.rs
+++ b/crates/verbenahinge/src/gateway/request_handler/final_response.rs
@@ -78,7 +78,7 @@
     }
 
     /// Responds to a request whose attempts failed.
-    fn respond_failed(self, error: AttemptError) -> CallerResponse {
+    pub(crate) fn respond_failed(self, error: AttemptError) -> CallerResponse {
         let cause = match error {
             AttemptError::Failed(kind) => kind.to_string(),
             AttemptError::TimeUp => "time_up".to_owned(),
