feat(gateway): brittle servers are sent no more than they have room for

Cause of a fall: VMs hear of each other's load 100 ms late and fill the same slots at the same moment; plain services were sent requests without regard to their slots. Ruled out: keeping a few slots free for what others may send, which felled both servers of the test.

Change: at a brittle service, each VM uses its part of every server's slots; after a rejection it avoids the server for as long as all VMs need to stay below half of what the server bears. VMs tell each other, also one that starts. The emulated server has room for a number of requests and falls over after too many rejections.

--- a/crates/verbenahinge-core/src/gateway/placement.rs
+++ b/crates/verbenahinge-core/src/gateway/placement.rs
@@ -153,6 +153,10 @@
                 PlacementError::NoServer
             });
         }
+        usable.retain(|candidate| candidate.has_room);
+        if usable.is_empty() {
+            return Err(PlacementError::Full);
+        }
         match (self.engine, &call.prompt) {
             (Some(engine), Some(_)) => self.choose_engine(call, &usable, engine),
             _ => self.choose_plain(call, &usable),
--- a/crates/verbenahinge-core/src/gateway/state.rs
+++ b/crates/verbenahinge-core/src/gateway/state.rs
@@ -1,5 +1,6 @@
 //! State of one gateway VM and the routing decisions based on it.
 
+mod brittle;
 mod config;
 mod crashes;
 mod demand;
@@ -15,6 +16,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+pub use self::brittle::BrittleReport;
+use self::brittle::{AvoidedServers, BrittleServices};
 use self::demand::PromptArrival;
 pub use self::limits::LimitReport;
 use self::limits::{LimitedPriority, PeerDemands};
@@ -63,6 +66,8 @@
     uses_permits: bool,
     permit_buckets: BTreeMap<u64, PermitBucket>,
     pauses: Pauses,
+    brittle_services: BrittleServices,
+    avoided_servers: AvoidedServers,
     software: SoftwareHistory,
     stream_origins: StreamOrigins,
     /// Time after its beginning by which a stream has ended, over all tries of its caller.
@@ -96,6 +101,8 @@
             uses_permits: false,
             permit_buckets: BTreeMap::new(),
             pauses: Pauses::new(),
+            brittle_services: BrittleServices::new(),
+            avoided_servers: AvoidedServers::new(),
             software: SoftwareHistory::default(),
             stream_origins: StreamOrigins::new(),
             stream_lifetime: Duration::ZERO,
@@ -139,6 +146,7 @@
         self.crash_guard.expire(now);
         self.expire_limits(now);
         self.expire_pauses(now);
+        self.expire_brittle(now);
         expired
     }
 
@@ -272,6 +280,7 @@
             entry,
             backend,
             pause: self.pause_left(now, entry),
+            has_room: self.has_room(now, entry, backend),
         }
     }
 
@@ -345,6 +354,9 @@
 
     /// Records a failure of a server; returns whether it ejects the server.
     pub fn note_failure(&mut self, now: Timestamp, server: &str, kind: FailureKind) -> bool {
+        if kind == FailureKind::Rejected {
+            self.note_rejection(now, server);
+        }
         self.backends
             .get_mut(server)
             .is_some_and(|backend| backend.note_failure(now, kind))
--- /dev/null
+++ b/crates/verbenahinge-core/src/gateway/state/brittle.rs
@@ -0,0 +1,181 @@
+//! Brittle servers, which fail if they have to reject too many requests in a second.
+//!
+//! Load pattern: all servers of a service let fewer requests wait for some time, and each fails if all VMs
+//! together send it more than it has room for too often. A VM learns of the load that others put on a
+//! server only after a digest. See `docs/design/brittle-servers.md`.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::GatewayState;
+use crate::gateway::number::to_u32;
+use crate::gateway::{Backend, ServerEntry, ServiceName};
+use crate::hash::{hash64, mix64};
+use crate::{ServerName, Timestamp};
+
+/// Time after the latest word of a service's servers for which they count as brittle.
+const BRITTLE_TTL: Duration = Duration::from_secs(5);
+
+/// Part of the rejections that a server bears which all VMs together may cause.
+const REJECTION_SHARE: f64 = 0.5;
+
+/// Few of a server's slots are in use if fewer than this part are.
+const SPARE_SLOTS_DIVISOR: u32 = 2;
+
+/// Longest time for which a VM avoids a server that has rejected one of its requests.
+const MAX_AVOID_TIME: Duration = Duration::from_mins(1);
+
+/// What servers of one service say of themselves.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Brittleness {
+    rejections_per_s: f64,
+    told_at: Timestamp,
+}
+
+/// What one VM tells others about a brittle service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BrittleReport {
+    /// Hash of the service's name.
+    pub service: u64,
+    /// Rejections in a second that a server of the service bears.
+    pub rejections_per_s: f64,
+    /// Time since a server said so.
+    pub age: Duration,
+}
+
+/// Brittle services by the hashes of their names.
+pub(super) type BrittleServices = BTreeMap<u64, Brittleness>;
+
+/// Ends of the times for which this VM avoids brittle servers.
+pub(super) type AvoidedServers = BTreeMap<ServerName, Timestamp>;
+
+fn to_usize(number: f64) -> usize {
+    usize::try_from(to_u32(number)).unwrap_or(usize::MAX)
+}
+
+fn service_hash(service: &ServiceName) -> u64 {
+    hash64(service.as_bytes())
+}
+
+impl GatewayState {
+    /// Records whether an answer of a server to a request that was sent at `sent_at` says that it is
+    /// brittle, and how many rejections in a second it bears; returns whether that is news.
+    pub fn note_brittle(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+        sent_at: Timestamp,
+        rejections_per_s: Option<f64>,
+    ) -> bool {
+        if rejections_per_s.is_none() && self.brittle_services.is_empty() {
+            return false;
+        }
+        let service = service_hash(service);
+        let old = self.brittle_services.get(&service).copied();
+        let Some(rejections_per_s) = rejections_per_s else {
+            // Answers may overtake each other.
+            let ends = old.is_some_and(|old| old.told_at < sent_at);
+            if ends {
+                self.brittle_services.remove(&service);
+            }
+            return ends;
+        };
+        let told = Brittleness {
+            rejections_per_s,
+            told_at: now,
+        };
+        self.brittle_services.insert(service, told);
+        old.is_none()
+    }
+
+    /// What this VM tells others about brittle services.
+    #[must_use]
+    pub fn brittle_reports(&self, now: Timestamp) -> Vec<BrittleReport> {
+        let mut reports = Vec::new();
+        for (&service, brittleness) in &self.brittle_services {
+            reports.push(BrittleReport {
+                service,
+                rejections_per_s: brittleness.rejections_per_s,
+                age: now.saturating_sub(brittleness.told_at),
+            });
+        }
+        reports
+    }
+
+    /// Applies what another VM tells about brittle services.
+    pub fn apply_brittle_reports(&mut self, now: Timestamp, reports: &[BrittleReport]) {
+        for report in reports {
+            let told = Brittleness {
+                rejections_per_s: report.rejections_per_s,
+                told_at: now.saturating_sub(report.age),
+            };
+            let known = self.brittle_services.get(&report.service);
+            if known.is_none_or(|known| known.told_at < told.told_at) {
+                self.brittle_services.insert(report.service, told);
+            }
+        }
+    }
+
+    /// Records that a server has rejected a request; a brittle one is avoided for so long that all VMs
+    /// together stay below what it bears.
+    pub(super) fn note_rejection(&mut self, now: Timestamp, server: &str) {
+        let Some(entry) = self.registry.get(server) else {
+            return;
+        };
+        let Some(brittleness) = self.brittle_services.get(&service_hash(&entry.service)) else {
+            return;
+        };
+        let rejections_per_s = brittleness.rejections_per_s.max(f64::EPSILON) * REJECTION_SHARE;
+        let vms = f64::from(u32::try_from(self.vm_count()).unwrap_or(u32::MAX));
+        let avoid = Duration::try_from_secs_f64(vms / rejections_per_s).unwrap_or(MAX_AVOID_TIME);
+        let until = now + avoid.min(MAX_AVOID_TIME);
+        self.avoided_servers.insert(entry.id.clone(), until);
+    }
+
+    /// Whether a brittle server surely has room for a request; true for other servers.
+    ///
+    /// The shares of all VMs add up to the server's slots, however late they hear of each other. While few
+    /// of the slots are in use, a VM may be one request ahead of its share in some seconds.
+    pub(super) fn has_room(&self, now: Timestamp, entry: &ServerEntry, backend: &Backend) -> bool {
+        if self.brittle_services.is_empty() {
+            return true;
+        }
+        let Some(brittleness) = self.brittle_services.get(&service_hash(&entry.service)) else {
+            return true;
+        };
+        let avoided_until = self.avoided_servers.get(&entry.id);
+        if avoided_until.is_some_and(|&until| until > now) {
+            return false;
+        }
+        let own = backend.own_running();
+        let share = self.slot_share(entry);
+        if own != share || backend.running() >= entry.slots / SPARE_SLOTS_DIVISOR {
+            return own < share;
+        }
+        let second = mix64(hash64(entry.id.as_bytes()), now.as_secs());
+        self.rank(second) < to_usize(brittleness.rejections_per_s * REJECTION_SHARE)
+    }
+
+    /// Slots of a server that this VM may use for itself; the first VMs in an order that depends on the
+    /// server get one more if the slots don't divide.
+    fn slot_share(&self, entry: &ServerEntry) -> u32 {
+        let slots = usize::try_from(entry.slots.max(1)).unwrap_or(usize::MAX);
+        let vms = self.vm_count();
+        let rank = self.rank(hash64(entry.id.as_bytes()));
+        let share = slots / vms + usize::from(rank < slots % vms);
+        u32::try_from(share).unwrap_or(u32::MAX)
+    }
+
+    /// Position of this VM in an order that VMs with the same live VMs agree on.
+    fn rank(&self, key: u64) -> usize {
+        let own_order = mix64(key, self.vm);
+        let peers = self.peers.keys();
+        peers.filter(|&&vm| mix64(key, vm) < own_order).count()
+    }
+
+    pub(super) fn expire_brittle(&mut self, now: Timestamp) {
+        self.brittle_services
+            .retain(|_, brittleness| brittleness.told_at + BRITTLE_TTL > now);
+        self.avoided_servers.retain(|_, until| *until > now);
+    }
+}
--- /dev/null
+++ b/crates/verbenahinge-core/tests/brittle_servers.rs
@@ -0,0 +1,112 @@
+//! Brittle servers in virtual time: what all VMs together send to a server at the same moment, before
+//! they hear of each other.
+
+#[path = "support/services.rs"]
+mod services;
+
+use std::time::Duration;
+
+use verbenahinge_core::FailureKind;
+use verbenahinge_core::gateway::{GatewayState, PeerDigest, PlacementError, ServiceName};
+
+const NOW: Duration = Duration::from_secs(100);
+
+/// Rejections in a second that a server bears.
+const REJECTIONS_PER_S: f64 = 6.0;
+
+/// Rejections that do not fell a server.
+const MAX_SURPLUS: usize = 6;
+
+/// Slots of each server, by `services`.
+const SLOTS: usize = 64;
+
+fn service() -> ServiceName {
+    "service".into()
+}
+
+/// VMs that know each other and the servers, and that the servers are brittle.
+fn fleet(vms: u64, servers: usize) -> Vec<GatewayState> {
+    let mut fleet = Vec::new();
+    for vm in 1..=vms {
+        let mut state = services::plain_state(vm, servers);
+        for peer in (1..=vms).filter(|&peer| peer != vm) {
+            let digest = PeerDigest {
+                vm: peer,
+                ..PeerDigest::default()
+            };
+            state.apply_digest(NOW, &digest);
+        }
+        assert!(state.note_brittle(NOW, &service(), NOW, Some(REJECTIONS_PER_S)));
+        fleet.push(state);
+    }
+    fleet
+}
+
+/// Guards against VMs that fill a brittle server beyond its slots because they hear of each other late.
+#[test]
+fn shares_exceed_slots() {
+    for (vms, servers) in [(2, 1), (9, 4), (300, 12)] {
+        let mut sent = vec![0; servers];
+        for (vm, state) in fleet(vms, servers).iter_mut().enumerate() {
+            for count in 0..2 * SLOTS as u64 {
+                let call = services::plain_call(vm as u64 * 1000 + count, NOW, 0);
+                match state.choose_server(NOW, &call, &[]) {
+                    Ok(choice) => {
+                        let index = choice.server.trim_start_matches("server-").parse();
+                        sent[index.unwrap_or(usize::MAX)] += 1;
+                        state.note_sent(NOW, &call, &choice);
+                    }
+                    Err(error) => assert_eq!(error, PlacementError::Full),
+                }
+            }
+        }
+        println!("{vms} VMs: {sent:?} at {SLOTS} slots");
+        for count in sent {
+            assert!(count <= SLOTS + MAX_SURPLUS, "{vms} VMs: {count}");
+            assert!(count >= SLOTS * 9 / 10, "{vms} VMs: {count}");
+        }
+    }
+}
+
+/// Guards against a VM that sends to a brittle server again at once after a rejection, and against one that
+/// avoids servers which are no longer brittle.
+#[test]
+fn rejections_are_spread() {
+    let mut fleet = fleet(9, 1);
+    let state = &mut fleet[0];
+    let call = services::plain_call(1, NOW, 0);
+    let server = services::server_name(0);
+    state.note_failure(NOW, &server, FailureKind::Rejected);
+    // Nine VMs share half of six rejections in a second.
+    let avoided = Duration::from_secs(3);
+    assert_eq!(
+        state.choose_server(NOW, &call, &[]),
+        Err(PlacementError::Full)
+    );
+    assert!(state.choose_server(NOW + avoided, &call, &[]).is_ok());
+    let later = NOW + Duration::from_secs(1);
+    // An answer to a request that was sent before does not end it.
+    assert!(!state.note_brittle(later, &service(), NOW, None));
+    assert!(state.note_brittle(later, &service(), later, None));
+    assert!(state.choose_server(NOW, &call, &[]).is_ok());
+}
+
+/// Guards against a VM that has just started and takes brittle servers for sound ones.
+#[test]
+fn others_tell_brittle_services() {
+    let fleet = fleet(2, 1);
+    let age = Duration::from_secs(1);
+    let reports = fleet[0].brittle_reports(NOW + age);
+    assert_eq!(reports.len(), 1);
+    assert_eq!(reports[0].age, age);
+    let mut started = services::plain_state(3, 1);
+    started.apply_brittle_reports(NOW, &reports);
+    let server = services::server_name(0);
+    started.note_failure(NOW, &server, FailureKind::Rejected);
+    let call = services::plain_call(1, NOW, 0);
+    let choice = started.choose_server(NOW, &call, &[]);
+    assert_eq!(choice, Err(PlacementError::Full));
+    // What nobody says again ends.
+    started.tick(NOW + Duration::from_secs(5), Duration::from_secs(5));
+    assert!(started.brittle_reports(NOW).is_empty());
+}
--- a/crates/verbenahinge-emulator/src/scripted_server.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server.rs
@@ -68,6 +68,8 @@
     executed_requests: RefCell<Vec<ExecutedRequest>>,
     arrivals: RefCell<Vec<Arrival>>,
     running: Cell<u32>,
+    /// Times of rejections for want of room within the last second.
+    rejections_ms: RefCell<Vec<u64>>,
     connections: Cell<u64>,
     started: Instant,
 }
@@ -80,6 +82,7 @@
         executed_requests: RefCell::default(),
         arrivals: RefCell::default(),
         running: Cell::new(0),
+        rejections_ms: RefCell::default(),
         connections: Cell::new(0),
         started: Instant::now(),
     });
@@ -211,6 +214,12 @@
             request_id: request.request_id.clone(),
             arrived_ms,
         });
+        if self.is_full() {
+            self.count_rejection();
+            let response = self.responder(request).not_executed();
+            stream.write_all(&response).await?;
+            return Ok(true);
+        }
         let fault = self.next_fault();
         if fault == ServerFault::Reject {
             let delay = Duration::from_millis(self.faults.borrow().reject_delay_ms);
@@ -236,6 +245,24 @@
         result
     }
 
+    /// Whether the server has no room for another request.
+    fn is_full(&self) -> bool {
+        let max_running = self.faults.borrow().max_running;
+        max_running > 0 && self.running.get() >= max_running
+    }
+
+    /// Counts a rejection for want of room; the process exits if there are too many in a second.
+    fn count_rejection(&self) {
+        let max = self.faults.borrow().max_rejections_per_s as usize;
+        let now_ms = self.elapsed_ms();
+        let mut rejections = self.rejections_ms.borrow_mut();
+        rejections.retain(|&at_ms| at_ms + 1000 > now_ms);
+        rejections.push(now_ms);
+        if max > 0 && rejections.len() > max {
+            std::process::exit(CRASH_EXIT_CODE);
+        }
+    }
+
     fn is_deadly(&self, request: &ParsedRequest) -> bool {
         let part = self.options.deadly_part;
         part.is_some_and(|part| request.prompt_parts.contains(&part))
--- a/crates/verbenahinge-emulator/src/scripted_server/response.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/response.rs
@@ -28,9 +28,10 @@
     fn head(self, status: &str, headers: &str) -> String {
         let id = http_headers::REQUEST_ID;
         format!(
-            "HTTP/1.1 {status}\r\n{id}: {}\r\n{}{headers}\r\n",
+            "HTTP/1.1 {status}\r\n{id}: {}\r\n{}{}{headers}\r\n",
             self.request.request_id,
             self.leaving_header(),
+            self.brittle_header(),
         )
     }
 
@@ -51,6 +52,14 @@
         }
     }
 
+    /// Header line of a brittle server; empty if it is not.
+    fn brittle_header(self) -> String {
+        match self.faults.max_rejections_per_s {
+            0 => String::new(),
+            number => format!("{}: {number}\r\n", http_headers::BRITTLE),
+        }
+    }
+
     /// Header line with a rate limit; empty if there is none.
     fn limit_header(self) -> String {
         let limit_per_s = self.faults.limit_per_s;
--- a/crates/verbenahinge-emulator/src/scripted_server/server_faults.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/server_faults.rs
@@ -30,6 +30,11 @@
     pub reject_delay_ms: u64,
     /// How a complete response, or one that is cut off, tells its end.
     pub framing: Framing,
+    /// Requests that run at a time; further ones are rejected. 0 means any number.
+    pub max_running: u32,
+    /// Rejections for want of room in a second that the server bears, and names in its responses; with
+    /// more, its process exits. 0 means any number.
+    pub max_rejections_per_s: u32,
     /// Client whose new connections are reset at once, as by a network that cuts it off.
     pub cut_off: Option<IpAddr>,
     /// Whether open connections of that client are reset too.
--- a/crates/verbenahinge/src/event_log.rs
+++ b/crates/verbenahinge/src/event_log.rs
@@ -74,6 +74,8 @@
     ServersUnreached = 412,
     /// This VM reaches the servers of a service again.
     ServersReached = 413,
+    /// Servers of a service have become brittle, or no longer are.
+    ServersBrittle = 414,
     /// A request or a prompt part is blamed for crashes of servers.
     CrashBlamed = 420,
     /// A request or a prompt part is no longer blamed for crashes.
--- a/crates/verbenahinge/src/gateway/attempt.rs
+++ b/crates/verbenahinge/src/gateway/attempt.rs
@@ -228,6 +228,17 @@
             self.record_pause(&entry.start(), wait);
         }
         let mut state = self.state.borrow_mut();
+        if !head.is_other_server
+            && state.note_brittle(now, &entry.service, sent_at, head.rejections_per_s)
+        {
+            let number = head.rejections_per_s;
+            let number = number.map_or_else(|| "none".to_owned(), |number| number.to_string());
+            LogEvent::ServersBrittle.log(&[
+                ("service", &entry.service),
+                ("server", server),
+                ("rejections_per_s", &number),
+            ]);
+        }
         state.note_progress(now, server);
         if let Some(load) = head.load {
             state.note_report(now, server, load);
--- a/crates/verbenahinge/src/gateway/peer_message.rs
+++ b/crates/verbenahinge/src/gateway/peer_message.rs
@@ -1,6 +1,7 @@
 //! Wire format of the messages between VMs: load on backend servers, crashes, table versions and
 //! addresses of VMs.
 
+mod brittle_message;
 mod crash_message;
 mod feed_message;
 mod leaving_message;
@@ -16,6 +17,7 @@
     LoadReport, PartState, PeerDigest, PeerLoad, PrefillLoad, ServerDigest,
 };
 
+pub(super) use self::brittle_message::BrittleMessage;
 pub(super) use self::crash_message::CrashMessage;
 pub(super) use self::feed_message::{DeltaMessage, FeedMessage, feed_from_number, feed_number};
 pub(super) use self::leaving_message::LeavingMessage;
@@ -118,6 +120,9 @@
     /// Whether a permit is granted, in a reply.
     #[prost(bool, tag = "18")]
     pub(super) is_permitted: bool,
+    /// Services whose servers are brittle.
+    #[prost(message, repeated, tag = "26")]
+    pub(super) brittle: Vec<BrittleMessage>,
     /// Services whose servers the sender cannot connect to; absent if the message does not tell.
     #[prost(message, optional, tag = "25")]
     pub(super) reach: Option<ReachMessage>,
--- a/crates/verbenahinge/src/gateway/peers.rs
+++ b/crates/verbenahinge/src/gateway/peers.rs
@@ -39,7 +39,9 @@
 pub(super) use self::reach::{push_reach, vms_in_reach};
 use self::streams::{StreamNews, handle_streams};
 pub(super) use self::streams::{find_version, push_streams};
-use super::peer_message::{LimitMessage, MessageKind, PeerMessage, pack_ip, unpack_ip};
+use super::peer_message::{
+    BrittleMessage, LimitMessage, MessageKind, PeerMessage, pack_ip, unpack_ip,
+};
 use super::table_body::TableTransfers;
 use super::{Gateway, crash_store, thread_holds, watch};
 use crate::event_log::LogEvent;
@@ -202,11 +204,18 @@
             let reports = gateway.state.borrow().limit_reports(now);
             message.limits = reports.into_iter().map(LimitMessage::from_report).collect();
             message.reach = Some(reach_message(&gateway));
+            message.brittle = brittle_messages(&gateway);
         }
         send_to(&gateway, MessageKind::Digest, message, &round.receivers).await;
     }
 }
 
+fn brittle_messages(gateway: &Gateway) -> Vec<BrittleMessage> {
+    let reports = gateway.state.borrow().brittle_reports(gateway.now());
+    let reports = reports.into_iter();
+    reports.map(BrittleMessage::from_report).collect()
+}
+
 /// Creates a message with a digest, the versions of the replicas and the addresses of some VMs.
 fn digest_message(gateway: &Gateway, digest: PeerDigest, addresses: &[IpAddr]) -> PeerMessage {
     let addresses = addresses.iter().filter_map(|&ip| pack_ip(ip)).collect();
@@ -290,6 +299,12 @@
         .apply_limit_reports(now, message.vm, &reports);
     handle_leaving(gateway, from, &message.leaving);
     handle_streams(gateway, from, &message);
+    let brittle = message.brittle.iter().map(|brittle| brittle.into_report());
+    let brittle: Vec<_> = brittle.collect();
+    gateway
+        .state
+        .borrow_mut()
+        .apply_brittle_reports(now, &brittle);
     if let Some(reach) = &message.reach {
         handle_reach(gateway, from, reach);
     }
@@ -330,7 +345,8 @@
         digest.crashes.truncate(MAX_WELCOME_RECORDS);
         digest
     };
-    let message = digest_message(gateway, digest, &addresses);
+    let mut message = digest_message(gateway, digest, &addresses);
+    message.brittle = brittle_messages(gateway);
     let gateway = Rc::clone(gateway);
     actix_rt::spawn(async move { send_to(&gateway, MessageKind::Welcome, message, &[to]).await });
 }
