fix(platform): answers of another server say nothing of brittle ones

An answer with 421 comes from another server at a reused address and ended the word of the one that was expected.

--- a/crates/verbenahinge-core/src/gateway.rs
+++ b/crates/verbenahinge-core/src/gateway.rs
@@ -8,6 +8,7 @@
 mod announced_version;
 mod backend;
 mod bounds;
+mod brittle_state;
 mod call;
 mod crash_blame;
 mod crash_evidence;
@@ -41,6 +42,7 @@
 pub use self::announced_version::AnnouncedVersion;
 pub use self::backend::{Backend, LoadReport, PeerLoad, PrefillLoad};
 pub use self::bounds::Bounds;
+pub use self::brittle_state::BrittleState;
 pub use self::call::{Call, CallId};
 pub use self::crash_guard::CrashGuard;
 pub use self::crash_record::CrashRecord;
--- a/crates/verbenahinge-core/src/gateway/state/brittle.rs
+++ b/crates/verbenahinge-core/src/gateway/state/brittle.rs
@@ -9,7 +9,7 @@
 
 use super::GatewayState;
 use crate::gateway::number::to_u32;
-use crate::gateway::{Backend, ServerEntry, ServiceName};
+use crate::gateway::{Backend, BrittleState, ServerEntry, ServiceName};
 use crate::hash::{hash64, mix64};
 use crate::{ServerName, Timestamp};
 
@@ -58,34 +58,37 @@
 }
 
 impl GatewayState {
-    /// Records whether an answer of a server to a request that was sent at `sent_at` says that it is
-    /// brittle, and how many rejections in a second it bears; returns whether that is news.
+    /// Records what an answer of a server to a request that was sent at `sent_at` says of itself; returns
+    /// whether the servers of its service have become brittle or no longer are.
     pub fn note_brittle(
         &mut self,
         now: Timestamp,
         service: &ServiceName,
         sent_at: Timestamp,
-        rejections_per_s: Option<f64>,
+        state: BrittleState,
     ) -> bool {
-        if rejections_per_s.is_none() && self.brittle_services.is_empty() {
-            return false;
-        }
-        let service = service_hash(service);
-        let old = self.brittle_services.get(&service).copied();
-        let Some(rejections_per_s) = rejections_per_s else {
-            // Answers may overtake each other.
-            let ends = old.is_some_and(|old| old.told_at < sent_at);
-            if ends {
-                self.brittle_services.remove(&service);
+        match state {
+            BrittleState::Untold => false,
+            BrittleState::Sound if self.brittle_services.is_empty() => false,
+            BrittleState::Sound => {
+                let service = service_hash(service);
+                let old = self.brittle_services.get(&service);
+                // Answers may overtake each other.
+                let ends = old.is_some_and(|old| old.told_at < sent_at);
+                if ends {
+                    self.brittle_services.remove(&service);
+                }
+                ends
             }
-            return ends;
-        };
-        let told = Brittleness {
-            rejections_per_s,
-            told_at: now,
-        };
-        self.brittle_services.insert(service, told);
-        old.is_none()
+            BrittleState::Brittle(rejections_per_s) => {
+                let told = Brittleness {
+                    rejections_per_s,
+                    told_at: now,
+                };
+                let old = self.brittle_services.insert(service_hash(service), told);
+                old.is_none()
+            }
+        }
     }
 
     /// What this VM tells others about brittle services.
--- a/crates/verbenahinge-core/tests/brittle_servers.rs
+++ b/crates/verbenahinge-core/tests/brittle_servers.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use verbenahinge_core::FailureKind;
-use verbenahinge_core::gateway::{GatewayState, PeerDigest, PlacementError, ServiceName};
+use verbenahinge_core::gateway::{
+    BrittleState, GatewayState, PeerDigest, PlacementError, ServiceName,
+};
 
 const NOW: Duration = Duration::from_secs(100);
 
@@ -36,7 +38,12 @@
             };
             state.apply_digest(NOW, &digest);
         }
-        assert!(state.note_brittle(NOW, &service(), NOW, Some(REJECTIONS_PER_S)));
+        assert!(state.note_brittle(
+            NOW,
+            &service(),
+            NOW,
+            BrittleState::Brittle(REJECTIONS_PER_S)
+        ));
         fleet.push(state);
     }
     fleet
@@ -86,8 +93,8 @@
     assert!(state.choose_server(NOW + avoided, &call, &[]).is_ok());
     let later = NOW + Duration::from_secs(1);
     // An answer to a request that was sent before does not end it.
-    assert!(!state.note_brittle(later, &service(), NOW, None));
-    assert!(state.note_brittle(later, &service(), later, None));
+    assert!(!state.note_brittle(later, &service(), NOW, BrittleState::Sound));
+    assert!(state.note_brittle(later, &service(), later, BrittleState::Sound));
     assert!(state.choose_server(NOW, &call, &[]).is_ok());
 }
 
--- a/crates/verbenahinge/src/gateway/attempt.rs
+++ b/crates/verbenahinge/src/gateway/attempt.rs
@@ -10,7 +10,8 @@
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use verbenahinge_core::gateway::{
-    Call, RouteKind, ServerChoice, ServerEntry, ServerStart, ServerState, SoftwareVersion,
+    BrittleState, Call, RouteKind, ServerChoice, ServerEntry, ServerStart, ServerState,
+    SoftwareVersion,
 };
 use verbenahinge_core::{FailureKind, ServerName, Timestamp};
 use verbenahinge_platform::http_headers::{self, ForwardHeaders, ServerHeaders};
@@ -228,11 +229,11 @@
             self.record_pause(&entry.start(), wait);
         }
         let mut state = self.state.borrow_mut();
-        if !head.is_other_server
-            && state.note_brittle(now, &entry.service, sent_at, head.rejections_per_s)
-        {
-            let number = head.rejections_per_s;
-            let number = number.map_or_else(|| "none".to_owned(), |number| number.to_string());
+        if state.note_brittle(now, &entry.service, sent_at, head.brittle) {
+            let number = match head.brittle {
+                BrittleState::Brittle(number) => number.to_string(),
+                BrittleState::Sound | BrittleState::Untold => "none".to_owned(),
+            };
             LogEvent::ServersBrittle.log(&[
                 ("service", &entry.service),
                 ("server", server),
