test(soak): servers of two versions, callers that come back, and VMs that are cut off

The soak's servers have two software versions; callers of broken streams come back at the next VM, and no stream may hold events of two versions, miss one or hold one twice over both tries. VMs are cut off from all servers in the midst of other faults, open connections included or not; one VM at least is not. A request that was handed over may fail because another VM was killed. Both draw from random numbers of their own.

--- a/crates/verbenahinge-testkit/src/gateway_caller.rs
+++ b/crates/verbenahinge-testkit/src/gateway_caller.rs
@@ -44,6 +44,13 @@
         }
     }
 
+    /// Sets the ID.
+    #[must_use]
+    pub fn id(mut self, id: &str) -> Self {
+        id.clone_into(&mut self.id);
+        self
+    }
+
     /// Sets the path.
     #[must_use]
     pub fn path(mut self, path: &str) -> Self {
--- a/crates/verbenahinge/tests/fault_soak.rs
+++ b/crates/verbenahinge/tests/fault_soak.rs
@@ -7,6 +7,8 @@
 
 #[path = "fault_soak/callers.rs"]
 mod callers;
+#[path = "fault_soak/cuts.rs"]
+mod cuts;
 #[path = "fault_soak/deadly.rs"]
 mod deadly;
 #[path = "fault_soak/departures.rs"]
@@ -21,6 +23,8 @@
 mod pauses;
 #[path = "fault_soak/rng.rs"]
 mod rng;
+#[path = "fault_soak/versions.rs"]
+mod versions;
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -34,10 +38,12 @@
 use verbenahinge_testkit::{CallerConnection, GatewayRequest};
 
 use self::callers::{CallerContext, STREAM_EVENTS, find_violation, run_caller, run_idle_caller};
+use self::cuts::CUTS;
 use self::departures::{DEPARTURES, check_leaving, finish_departures, inject_departure};
 use self::fleet::{SERVER_COUNT, SoakFleet};
 use self::pauses::{PAUSES, check_pause, inject_pause};
 use self::rng::SeededRng;
+use self::versions::check_streams;
 
 const REGRESSION_SEEDS: &str = include_str!("data/soak_seeds.txt");
 
@@ -92,6 +98,7 @@
     let later_rng = SeededRng::new(seed ^ LATER_FAULTS);
     let departure_rng = SeededRng::new(seed ^ DEPARTURES);
     let pause_rng = SeededRng::new(seed ^ PAUSES);
+    let cut_rng = SeededRng::new(seed ^ CUTS);
     let normal = ServerFaults {
         work_ms: 5 + rng.below(20),
         events: STREAM_EVENTS,
@@ -107,6 +114,7 @@
             .collect(),
         idle_limit_ms: Rc::clone(&soak.idle_limit_ms),
         exchanges: Rc::default(),
+        resumed_streams: Rc::default(),
         is_finished: Rc::default(),
     };
     let mut callers = Vec::new();
@@ -135,12 +143,14 @@
         fault_log.extend(soak.inject_later_faults(&later_rng).await);
         fault_log.extend(inject_departure(&mut soak, &departure_rng).await);
         fault_log.extend(inject_pause(&soak, &pause_rng).await);
+        fault_log.extend(soak.inject_cut(&cut_rng));
         actix_rt::time::sleep(Duration::from_millis(50 + rng.below(500))).await;
         soak.clear_faults(&rng, false).await;
         soak.restart_fragile_servers().await;
         soak.restart_brittle_engines().await;
         finish_departures(&mut soak).await;
     }
+    soak.end_cuts();
     soak.clear_faults(&rng, true).await;
     finish_departures(&mut soak).await;
     context.is_finished.set(true);
@@ -157,6 +167,7 @@
     // Requests that were forwarded before their caller disconnected may still be running.
     actix_rt::time::sleep(Duration::from_millis(500)).await;
     violations.extend(check_exchanges(&soak, &context).await);
+    violations.extend(check_streams(&context));
     if !violations.is_empty() {
         violations.push(format!("faults: {}", fault_log.join("; ")));
     }
--- a/crates/verbenahinge/tests/fault_soak/disturbances.rs
+++ b/crates/verbenahinge/tests/fault_soak/disturbances.rs
@@ -19,6 +19,8 @@
 pub(crate) struct Trace {
     /// Whether a VM has logged its end.
     pub(crate) has_ended: bool,
+    /// Whether it was handed over to another VM.
+    pub(crate) is_relayed: bool,
     /// Names of the servers that the log names for it.
     pub(crate) servers: BTreeSet<String>,
     /// Its runs, with the indices of the servers.
@@ -148,6 +150,13 @@
         })
     }
 
+    /// Whether any VM was down, which may have had the request of another one.
+    fn was_any_vm_down(&self, exchange: &Exchange) -> bool {
+        self.overlaps(exchange.started, exchange.ended, |disturbance| {
+            !matches!(disturbance, Disturbance::Link(_))
+        })
+    }
+
     fn was_vm_killed(&self, exchange: &Exchange) -> bool {
         let kill = Disturbance::Kill(exchange.vm);
         self.overlaps(exchange.started, exchange.ended, |disturbance| {
@@ -176,6 +185,7 @@
             || trace.has_unsound_run()
             || (trace.runs.is_empty() && has_unsound_server)
             || self.was_vm_down(exchange)
+            || (trace.is_relayed && self.was_any_vm_down(exchange))
             || (exchange.has_used_its_time() && !trace.has_time_for_pauses(exchange))
     }
 
