feat(gateway): software versions of services are kept in the store

After the loss of all VMs, a caller that came back was refused for twice the longest timeout, although its service had never had another version: no VM had seen for how long that was so.

Change: a row for each service holds its only version, or that there are several, and since when. VMs read it at their start and in each era of the store; one of three VMs writes it when it changes. What it costs: a read a VM and start, a write a service at the first start, and two writes a release.

replaced_vms_forget_versions fails without the adoption of the row (mutant: 503, UnknownVersion).

--- a/crates/verbenahinge-core/src/gateway.rs
+++ b/crates/verbenahinge-core/src/gateway.rs
@@ -65,7 +65,7 @@
 pub use self::server_order::ServerOrder;
 pub use self::server_reach::ServerReach;
 pub use self::server_start::ServerStart;
-pub use self::software_history::SoftwareHistory;
+pub use self::software_history::{ServiceSoftware, SoftwareHistory};
 pub use self::software_version::{SoftwareName, SoftwareVersion};
 pub use self::state::{BrittleReport, GatewayState, LimitReport, PeerDigest, ServerDigest};
 pub use self::store_contact::{REREGISTER_GRACE, StoreContact, StoreGap};
--- a/crates/verbenahinge-core/src/gateway/state/streams.rs
+++ b/crates/verbenahinge-core/src/gateway/state/streams.rs
@@ -2,7 +2,9 @@
 
 use super::GatewayState;
 use crate::Timestamp;
-use crate::gateway::{Route, ServiceName, SoftwareVersion, StreamId, StreamOrigin, StreamOrigins};
+use crate::gateway::{
+    Route, ServiceName, ServiceSoftware, SoftwareVersion, StreamId, StreamOrigin, StreamOrigins,
+};
 
 /// Longest stream over all tries of its caller, in timeouts of its route.
 const TIMEOUTS_PER_STREAM: u32 = 2;
@@ -92,6 +94,17 @@
         self.stream_origins.take_untold(now)
     }
 
+    /// Version of each service's servers, for the store.
+    #[must_use]
+    pub fn service_software(&self) -> Vec<(ServiceName, ServiceSoftware)> {
+        self.software.service_software()
+    }
+
+    /// Adopts what the store holds of a service.
+    pub fn adopt_software(&mut self, service: &str, stored: ServiceSoftware) {
+        self.software.adopt(service, stored);
+    }
+
     /// Software of a server by its present entry.
     pub(super) fn software_of(&self, id: &str) -> Option<(ServiceName, SoftwareVersion)> {
         let entry = self.registry.get(id)?;
--- a/crates/verbenahinge/src/gateway.rs
+++ b/crates/verbenahinge/src/gateway.rs
@@ -28,6 +28,7 @@
 mod response_memory;
 mod server_stream;
 mod shutdown;
+mod software_store;
 mod table_body;
 mod thread_holds;
 mod watch;
@@ -54,6 +55,7 @@
 use self::metrics::GatewayMetrics;
 use self::peers::Peers;
 use self::response_memory::ResponseMemory;
+use self::software_store::SoftwareStore;
 use self::thread_holds::ThreadHolds;
 use self::watch::Replicas;
 use crate::clock::Clock;
@@ -80,6 +82,7 @@
     pub(crate) replicas: Replicas,
     pub(crate) crash_checks: CrashChecks,
     pub(crate) crash_store: CrashStore,
+    pub(crate) software_store: SoftwareStore,
     pub(crate) response_memory: ResponseMemory,
     pub(crate) thread_holds: ThreadHolds,
     pub(crate) is_draining: Cell<bool>,
@@ -170,6 +173,7 @@
         replicas: Replicas::new(),
         crash_checks: CrashChecks::default(),
         crash_store: CrashStore::new(),
+        software_store: SoftwareStore::default(),
         response_memory,
         thread_holds: ThreadHolds::default(),
         is_draining: Cell::new(false),
@@ -195,6 +199,7 @@
     });
     spawn_task(&gateway, "newer_config", watch::catch_up_config);
     spawn_task(&gateway, "crash_records", crash_store::sync_records);
+    spawn_task(&gateway, "software", software_store::sync_software);
     spawn_task(&gateway, "membership", watch::discover_vms);
     spawn_task(&gateway, "digests_in", peers::receive_messages);
     spawn_task(&gateway, "digests_out", peers::send_digests);
--- a/crates/verbenahinge/tests/stream_versions.rs
+++ b/crates/verbenahinge/tests/stream_versions.rs
@@ -1,9 +1,10 @@
 //! Streams while servers of several software versions serve side by side: what two versions write does
 //! not fit together, so that a stream continues only at the version that began it.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use verbenahinge_emulator::scripted_server::{ServerFault, ServerFaults};
+use verbenahinge_platform::store::SOFTWARE_TABLE;
 use verbenahinge_testkit::{GatewayFleet, GatewayFleetOptions, GatewayRequest, GatewayResponse};
 
 const BIN: &str = env!("CARGO_BIN_EXE_verbenahinge");
@@ -12,6 +13,9 @@
 /// Servers of the fleet.
 const SERVERS: usize = 3;
 
+/// Time within which the version of a service is kept in the store.
+const SETTLE_TIME: Duration = Duration::from_secs(10);
+
 /// Fleet whose streams begin at the server `first`.
 struct MixedFleet {
     fleet: GatewayFleet,
@@ -176,3 +180,32 @@
     let first = mixed.first_name();
     assert!(response.event_servers().iter().all(|&name| name == first));
 }
+
+/// Guards against streams that cannot continue because all VMs were replaced, though their service has
+/// never had another version.
+#[actix_rt::test]
+async fn replaced_vms_forget_versions() {
+    let options = GatewayFleetOptions::new(CONFIG).vms(2).servers(SERVERS);
+    let mut fleet = GatewayFleet::start(BIN, options).await;
+    let whole = fleet.call(0, &stream_request("s1")).await;
+    assert_eq!(whole.event_ids(), [1, 2, 3, 4, 5]);
+    let started = Instant::now();
+    while fleet.store_keys(SOFTWARE_TABLE).await.is_empty() {
+        assert!(started.elapsed() < SETTLE_TIME, "the version is not kept");
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+    }
+    for vm in 0..2 {
+        fleet.vm_process(vm).kill();
+    }
+    for vm in 0..2 {
+        fleet.vm_process(vm).restart();
+    }
+    for vm in 0..2 {
+        fleet.wait_until_ready(vm).await;
+    }
+    actix_rt::time::sleep(Duration::from_secs(2)).await;
+    let rest = stream_request("s2").last_event_id(3).resumes("s1");
+    let response = fleet.call(1, &rest).await;
+    assert_eq!(response.status, 200, "{:?}", response.body);
+    assert_eq!(response.event_ids(), [4, 5]);
+}
