fix(soak): a cut of a VM ends with the cut, not with the fault of a link

The cut was noted as a fault of each server's link, which the end of a link's own fault ended too, while the VM was still cut off.

--- a/crates/verbenahinge/tests/fault_soak/cuts.rs
+++ b/crates/verbenahinge/tests/fault_soak/cuts.rs
@@ -1,7 +1,7 @@
 //! VMs that the network cuts off from all servers.
 
 use crate::disturbances::Disturbance;
-use crate::fleet::{SERVER_COUNT, SoakFleet};
+use crate::fleet::SoakFleet;
 use crate::rng::SeededRng;
 
 /// Distinguishes the random numbers of this file's faults.
@@ -26,9 +26,11 @@
         let clients = vms.iter().map(|&vm| self.fleet.listen_address(vm).ip());
         let clients = clients.collect();
         let keeps_open = rng.below(2) == 0;
-        for (server, proxy) in self.server_proxies.iter().enumerate() {
+        for proxy in &self.server_proxies {
             proxy.cut_off(&clients, keeps_open);
-            self.disturbances.begin(Disturbance::Link(server));
+        }
+        for &vm in &vms {
+            self.disturbances.begin(Disturbance::Cut(vm));
         }
         self.has_cut = true;
         Some(format!("VMs {vms:?} cut off, keeps_open={keeps_open}"))
@@ -37,9 +39,11 @@
     /// Connects all VMs with the servers again.
     pub(crate) fn end_cuts(&mut self) {
         self.has_cut = false;
-        for server in 0..SERVER_COUNT {
-            self.server_proxies[server].end_cut();
-            self.disturbances.end(Disturbance::Link(server));
+        for proxy in &self.server_proxies {
+            proxy.end_cut();
+        }
+        for vm in 0..self.vm_count {
+            self.disturbances.end(Disturbance::Cut(vm));
         }
     }
 }
--- a/crates/verbenahinge/tests/fault_soak/disturbances.rs
+++ b/crates/verbenahinge/tests/fault_soak/disturbances.rs
@@ -51,6 +51,8 @@
 pub(crate) enum Disturbance {
     /// The link to a server, by its index.
     Link(usize),
+    /// The links of a VM to all servers.
+    Cut(usize),
     /// A suspended VM.
     Suspension(usize),
     /// A VM that was killed.
@@ -153,7 +155,7 @@
     /// Whether any VM was down, which may have had the request of another one.
     fn was_any_vm_down(&self, exchange: &Exchange) -> bool {
         self.overlaps(exchange.started, exchange.ended, |disturbance| {
-            !matches!(disturbance, Disturbance::Link(_))
+            !matches!(disturbance, Disturbance::Link(_) | Disturbance::Cut(_))
         })
     }
 
@@ -177,6 +179,7 @@
     fn explain_failure(&self, exchange: &Exchange, trace: &Trace) -> bool {
         let has_failed_link = self.overlaps(exchange.started, exchange.ended, |disturbance| {
             matches!(disturbance, Disturbance::Link(server) if trace.may_have_reached(server))
+                || disturbance == Disturbance::Cut(exchange.vm)
         });
         let has_unsound_server = self
             .unsound_since
