--- a/crates/verbenahinge/tests/fault_soak.rs
+++ b/crates/verbenahinge/tests/fault_soak.rs
@@ -7,6 +7,8 @@
 
 #[path = "fault_soak/callers.rs"]
 mod callers;
+#[path = "fault_soak/crashes.rs"]
+mod crashes;
 #[path = "fault_soak/cuts.rs"]
 mod cuts;
 #[path = "fault_soak/deadly.rs"]
@@ -26,8 +28,6 @@
 #[path = "fault_soak/versions.rs"]
 mod versions;
 
-use std::cell::Cell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -38,6 +38,7 @@
 use verbenahinge_testkit::{CallerConnection, GatewayRequest};
 
 use self::callers::{CallerContext, STREAM_EVENTS, find_violation, run_caller, run_idle_caller};
+use self::crashes::{check_quarantine, send_crashing_requests};
 use self::cuts::CUTS;
 use self::departures::{DEPARTURES, check_leaving, finish_departures, inject_departure};
 use self::fleet::{SERVER_COUNT, SoakFleet};
@@ -61,9 +62,6 @@
 /// VMs that watch the store in a larger fleet.
 const WATCHERS: usize = 5;
 
-/// Pause between two requests that crash servers.
-const CRASHING_PAUSE: Duration = Duration::from_millis(200);
-
 /// Limit that a server names, in requests per second.
 const LIMIT_PER_S: f64 = 2.0;
 
@@ -84,7 +82,7 @@
 const FAULT_COUNT: u64 = 16;
 
 /// Timeout for a VM to serve again after the last fault. The VMs are checked in turn.
-const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
+pub(crate) const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 
 /// Time by which a lapse may be recorded later than the store is available.
 const EXPIRY_SLACK: Duration = Duration::from_millis(500);
@@ -251,67 +249,6 @@
     violations
 }
 
-/// Request that crashes each server that runs it.
-fn crashing_request(id: String) -> GatewayRequest {
-    GatewayRequest::new(id, "/fragile/x")
-}
-
-/// Sends a request that crashes servers again and again, through all VMs.
-async fn send_crashing_requests(
-    vm_addresses: Vec<SocketAddr>,
-    seed: u64,
-    is_finished: Rc<Cell<bool>>,
-) {
-    let mut count = 0;
-    while !is_finished.get() {
-        count += 1;
-        let address = vm_addresses[count % vm_addresses.len()];
-        let request = crashing_request(format!("{seed}-crashing-{count}"));
-        let call = async {
-            if let Ok(mut caller) = CallerConnection::open(address).await {
-                // The VM may be down; only the state at the end counts.
-                drop(caller.call(&request).await);
-            }
-        };
-        drop(actix_rt::time::timeout(Duration::from_secs(3), call).await);
-        actix_rt::time::sleep(CRASHING_PAUSE).await;
-    }
-}
-
-/// Waits until every VM refuses the request that crashes servers; from then on, no server must crash.
-async fn check_quarantine(soak: &mut SoakFleet) -> Vec<String> {
-    let mut violations = Vec::new();
-    for vm in 0..soak.vm_count {
-        let started = Instant::now();
-        while !is_refused(soak, vm).await {
-            soak.restart_fragile_servers().await;
-            if started.elapsed() > RECOVERY_TIMEOUT {
-                violations.push(format!("VM {vm} still runs a request that crashes servers"));
-                break;
-            }
-            actix_rt::time::sleep(CRASHING_PAUSE).await;
-        }
-    }
-    // Crashes that came before the refusals of all VMs.
-    soak.restart_fragile_servers().await;
-    for vm in 0..soak.vm_count {
-        if !is_refused(soak, vm).await {
-            violations.push(format!("VM {vm} runs a quarantined request"));
-        }
-    }
-    let crashed = soak.restart_fragile_servers().await;
-    if crashed > 0 {
-        violations.push(format!("{crashed} servers crashed after the quarantine"));
-    }
-    violations
-}
-
-async fn is_refused(soak: &SoakFleet, vm: usize) -> bool {
-    let request = crashing_request(format!("refused-{vm}"));
-    let response = soak.fleet.call(vm, &request).await;
-    response.status == 503 && response.body.contains("is not run again")
-}
-
 /// Lets a server name a limit, and returns a violation if the VMs together exceed it.
 async fn check_limit(soak: &SoakFleet, seed: u64) -> Vec<String> {
     let limited = ServerFaults {
