fix(gateway): a request that was handed over to a VM in the same cut is offered to a third one

Cause: the other VM went on trying servers after it had found itself cut off, and its refusal was passed on as final.

Change: a VM that is cut off makes no further connection for a request that has reached no server; what was handed over to it is refused at once as not run, and offered to a third VM, as its news say by then that it is cut off. Three VMs are asked at most. A refusal for any other reason is passed on as before.

--- a/crates/verbenahinge/src/gateway/peer_relay.rs
+++ b/crates/verbenahinge/src/gateway/peer_relay.rs
@@ -25,7 +25,7 @@
 use crate::event_log::LogEvent;
 
 /// VMs to which one request is offered.
-const MAX_OFFERS: usize = 2;
+const MAX_OFFERS: usize = 3;
 
 /// Time by which the other VM has to end earlier than this one, so that its final response arrives.
 const RELAY_MARGIN: Duration = Duration::from_millis(30);
@@ -53,40 +53,48 @@
         matches!(status.as_u16(), 401 | 403 | 404)
             && !headers.contains_key(&http_headers::SIGNATURE)
     }
+
+    /// Whether the other VM has not run the request.
+    fn is_refusal(&self) -> bool {
+        let headers = self.response.headers();
+        self.response.status() == StatusCode::SERVICE_UNAVAILABLE
+            && !headers.contains_key(&http_headers::SIGNATURE)
+    }
 }
 
 impl RequestHandler {
     /// Whether the request can be handed over: it has reached no server, and this VM reaches none.
     fn may_be_relayed(&self) -> bool {
-        let service = &self.call.service;
         self.request.ingress == Ingress::Callers
             && self.has_reached_no_server()
-            && self.gateway.reach.borrow().is_cut_off(service)
+            && self.is_cut_off()
     }
 
     /// Hands the request over to another VM if this one is cut off from its servers.
     ///
     /// # Errors
     ///
-    /// Returns the handler if the request is to be handled here, as no other VM has received it.
+    /// Returns the handler if the request is to be handled here, as no other VM can run it.
     pub(crate) async fn relay_if_cut_off(mut self) -> Result<CallerResponse, Self> {
         if !self.may_be_relayed() {
             return Err(self);
         }
-        let service = self.call.service.clone();
-        let seed = mix64(self.call.fingerprint, self.call.id);
-        let vms = peers::vms_in_reach(&self.gateway, &service, seed);
-        for address in vms.into_iter().take(MAX_OFFERS) {
+        let mut offered = Vec::new();
+        while let Some(address) = self.next_vm(&offered) {
+            offered.push(address);
             LogEvent::RequestRelayed.log(&[
                 ("request_id", &self.log_id()),
                 ("peer", &address.ip()),
-                ("service", &service),
+                ("service", &self.call.service),
                 ("after_ms", &self.elapsed_ms()),
             ]);
             match self.send_to_vm(address).await {
                 Ok(relayed) if relayed.is_unknown() => {
                     log::debug!("VM {address} does not know the route or key of a request yet");
                 }
+                Ok(relayed) if relayed.is_refusal() && self.is_cut_off_too(address) => {
+                    log::debug!("VM {address} has found that it is cut off too");
+                }
                 Ok(relayed) => {
                     self.gateway.state.borrow_mut().forget_arrival(&self.call);
                     return Ok(self.pass_on(address, relayed));
@@ -101,6 +109,21 @@
         Err(self)
     }
 
+    /// VM to which the request is offered next, if there is one.
+    fn next_vm(&self, offered: &[SocketAddr]) -> Option<SocketAddr> {
+        if offered.len() >= MAX_OFFERS {
+            return None;
+        }
+        let seed = mix64(self.call.fingerprint, self.call.id);
+        let vms = peers::vms_in_reach(&self.gateway, &self.call.service, seed);
+        vms.into_iter().find(|address| !offered.contains(address))
+    }
+
+    /// Whether a VM says by now that it is cut off from the servers too.
+    fn is_cut_off_too(&self, address: SocketAddr) -> bool {
+        !peers::vms_in_reach(&self.gateway, &self.call.service, 0).contains(&address)
+    }
+
     async fn send_to_vm(&mut self, address: SocketAddr) -> Result<RelayedResponse, RelayError> {
         let gateway = Rc::clone(&self.gateway);
         let name: ServerName = format!("vm-{}", address.ip()).into();
--- a/crates/verbenahinge/src/gateway/request_handler.rs
+++ b/crates/verbenahinge/src/gateway/request_handler.rs
@@ -206,6 +206,11 @@
         }
     }
 
+    /// Whether this VM is cut off from the servers of the request.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        self.gateway.reach.borrow().is_cut_off(&self.call.service)
+    }
+
     /// Whether no server has received the request.
     pub(crate) fn has_reached_no_server(&self) -> bool {
         self.attempt_count == 0 && self.verdict == Verdict::NotRun
--- a/crates/verbenahinge/src/gateway/request_handler/attempts.rs
+++ b/crates/verbenahinge/src/gateway/request_handler/attempts.rs
@@ -45,6 +45,8 @@
     Budget,
     /// Another attempt is in flight.
     Running,
+    /// This VM is cut off from the servers, so that another one has to handle the request.
+    CutOff,
 }
 
 /// Why no attempt produced a response to forward.
@@ -66,7 +68,10 @@
         let AttemptError::Failed(kind) = error else {
             return RetryDecision::GiveUp(error);
         };
-        let retry = if self.may_try_free(kind) {
+        let is_cut_off = kind == FailureKind::ConnectFailed && self.is_cut_off();
+        let retry = if is_cut_off && self.has_reached_no_server() {
+            Err(NoRetry::CutOff)
+        } else if self.may_try_free(kind) {
             Ok(())
         } else {
             self.try_spend_retry(kind)
