test(gateway): a request right after a hold is sent once the VM has read what arrived during it

Traced by the VM's log: the hold ended at 16:43:09.199877, the expired request was refused at .199978 and the next one, on a new connection, was read at .200279, within the passes of the event loop whose requests count from the start of the hold of 1,407 ms; its route allows 1,000 ms. The refusal is true and comes with a time to return, so that the product is as it should be: it cannot know that the request came later. The test sends it 50 ms later now; what it asserts is unchanged.

--- a/crates/verbenahinge/tests/held_threads.rs
+++ b/crates/verbenahinge/tests/held_threads.rs
@@ -145,6 +145,8 @@
         fleet.vm_process(0).resume();
         let response = call.await.expect("the call does not panic");
         assert_eq!(response.expect("a response").status, 503, "{path}");
+        // What the VM reads in the first passes after a hold may have arrived during it.
+        sleep_ms(50).await;
         let response = fleet.call(0, &request("later")).await;
         assert_eq!(response.status, 200, "{path}");
         for name in ["kept", "left", "expired"] {
