fix(gateway): a search for an engine goes on while the engines asked are full

Cause: in a fleet of 18 VMs or more, a VM asked the load of the two engines that rank best for a prompt and refused when both were full, with all others never considered. The interactive group was sized by the streams that a VM sees itself, a ninetieth of them, so 160 streams met on three engines of 16 slots.

Ruled out: memory and lateness of the engines (all refusals seen had no slot), the bound on all running requests.

Change: EngineSearch in the core asks in rounds of 2, 6 and 16 engines, the next only if none of those before is suitable. VMs report their interactive streams in digests, which size the group (recent reports extrapolated, as for prompt tokens). A server that a VM no longer uses is told once without load (LoadChanges): full digests left it out, so others counted its last load for 2.5 s where servers do not report load. A refusal's line tells how many servers there are, how many were considered and why each was no use.

--- a/crates/verbenahinge-core/src/gateway.rs
+++ b/crates/verbenahinge-core/src/gateway.rs
@@ -15,8 +15,10 @@
 mod crash_guard;
 mod crash_record;
 mod crash_refusal;
+mod engine_search;
 mod feed;
 mod hold_monitor;
+mod load_changes;
 mod members;
 mod number;
 mod part_cache;
@@ -47,13 +49,17 @@
 pub use self::crash_guard::CrashGuard;
 pub use self::crash_record::CrashRecord;
 pub use self::crash_refusal::CrashRefusal;
+pub use self::engine_search::EngineSearch;
 pub use self::feed::{
     Feed, FeedDelta, RowChange, RowState, StoreRow, watch_timeout, watches_store,
 };
 pub use self::hold_monitor::{HoldMonitor, MIN_HOLD};
+pub use self::load_changes::LoadChanges;
 pub use self::members::{DIGEST_INTERVAL, GossipRound, Members, address_number};
 pub use self::part_cache::{PartCache, PartState};
-pub use self::placement::{PlacementContext, PlacementError, ServerChoice};
+pub use self::placement::{
+    Obstacle, PlacementContext, PlacementError, PlacementSurvey, ServerChoice,
+};
 pub use self::prompt::{PartId, Prompt, PromptPart};
 pub use self::registry::{LeavingNews, Registry, RegistryChange, ServerEntry, ServerState};
 pub use self::retry_after::{RETRY_AFTER_MIN, retry_after};
--- a/crates/verbenahinge-core/src/gateway/backend.rs
+++ b/crates/verbenahinge-core/src/gateway/backend.rs
@@ -376,11 +376,7 @@
     /// Streams in flight that long prefills of other requests would make late, of all VMs.
     #[must_use]
     pub fn interactive(&self) -> u32 {
-        let own = self
-            .in_flight
-            .values()
-            .filter(|request| request.interactive);
-        count(own.count()) + self.other_vms_total(|load| load.interactive)
+        self.own_interactive() + self.other_vms_total(|load| load.interactive)
     }
 
     /// Tokens that requests in flight hold in engine memory, of all VMs.
--- a/crates/verbenahinge-core/src/gateway/backend/own_load.rs
+++ b/crates/verbenahinge-core/src/gateway/backend/own_load.rs
@@ -9,13 +9,9 @@
     /// Load that this VM puts on the server.
     #[must_use]
     pub fn own_load(&self) -> PeerLoad {
-        let interactive = self
-            .in_flight
-            .values()
-            .filter(|request| request.interactive);
         PeerLoad {
             running: count(self.in_flight.len()),
-            interactive: count(interactive.count()),
+            interactive: self.own_interactive(),
             memory_tokens: self
                 .in_flight
                 .values()
@@ -27,6 +23,13 @@
         }
     }
 
+    /// Streams of this VM in flight that long prefills of other requests would make late.
+    #[must_use]
+    pub fn own_interactive(&self) -> u32 {
+        let requests = self.in_flight.values();
+        count(requests.filter(|request| request.interactive).count())
+    }
+
     fn parts_in_prefill(&self) -> BTreeMap<PartId, PartState> {
         let mut parts = BTreeMap::new();
         for request in self.in_flight.values().filter(|request| request.prefilling) {
--- a/crates/verbenahinge-core/src/gateway/placement.rs
+++ b/crates/verbenahinge-core/src/gateway/placement.rs
@@ -11,15 +11,19 @@
 //! or become slow. A request goes to the least loaded server, with failing servers penalized.
 
 mod candidate;
+mod obstacle;
 mod placement_error;
+mod placement_survey;
 mod prefill;
 mod server_choice;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 pub(super) use self::candidate::Candidate;
+pub use self::obstacle::Obstacle;
 pub use self::placement_error::PlacementError;
+pub use self::placement_survey::PlacementSurvey;
 use self::prefill::PrefillPlan;
 pub use self::server_choice::ServerChoice;
 use super::server_order::group_hash;
@@ -47,8 +51,7 @@
 /// requests.
 const MAX_MEMORY_SHARE: f64 = 0.85;
 
-/// Cost from which an engine counts as full: it has no free slot or memory, or several short
-/// streams would become late.
+/// Cost from which an engine counts as full: several short streams would become late.
 const FULL_COST: f64 = 4.0;
 
 /// An engine may hold `slots / URGENT_SLOTS_DIVISOR` requests beyond its slots, so that urgent
@@ -235,27 +238,18 @@
         } else {
             home_engine(call, candidates, &interactive_group, interactive)
         };
-        let max_admitted_wait = self.max_admitted_wait(call);
         let mut best: Option<(f64, ServerChoice)> = None;
         let mut least_wait = Duration::MAX;
-        let mut delays_urgent = false;
-        let mut full = false;
+        let mut obstacles = BTreeSet::new();
         for candidate in candidates {
             let in_group = interactive_group.contains(&candidate.entry.id) == interactive;
             let is_home = home.as_ref() == Some(&candidate.entry.id);
             let plan = self.plan_prefill(call, candidate, candidates, engine, is_home);
-            let (mut cost, is_full, choice) =
-                engine_cost(call, candidate, engine, interactive, plan);
+            let (mut cost, obstacle, choice) =
+                self.assess_engine(call, candidate, engine, interactive, plan);
             least_wait = least_wait.min(choice.expected_wait);
-            if choice.expected_wait > max_admitted_wait {
-                continue;
-            }
-            if self.delays_urgent_prompts(candidate.backend, &choice) {
-                delays_urgent = true;
-                continue;
-            }
-            if is_full {
-                full = true;
+            if let Some(obstacle) = obstacle {
+                obstacles.insert(obstacle);
                 continue;
             }
             if !in_group {
@@ -267,12 +261,75 @@
         }
         match best {
             Some((_, choice)) => Ok(choice),
-            None if full => Err(PlacementError::Full),
-            None if delays_urgent => Err(PlacementError::Yields(least_wait)),
+            None if obstacles.iter().any(|obstacle| obstacle.is_full()) => {
+                Err(PlacementError::Full)
+            }
+            None if obstacles.contains(&Obstacle::Yields) => {
+                Err(PlacementError::Yields(least_wait))
+            }
             None => Err(PlacementError::TooLate(least_wait)),
         }
     }
 
+    /// Counts why each of the candidates cannot get a call.
+    pub(super) fn count_obstacles(
+        &self,
+        call: &Call,
+        candidates: &[Candidate],
+    ) -> BTreeMap<Obstacle, u32> {
+        let mut counts = BTreeMap::new();
+        for candidate in candidates {
+            if let Some(obstacle) = self.obstacle(call, candidate, candidates) {
+                *counts.entry(obstacle).or_default() += 1;
+            }
+        }
+        counts
+    }
+
+    fn obstacle(
+        &self,
+        call: &Call,
+        candidate: &Candidate,
+        candidates: &[Candidate],
+    ) -> Option<Obstacle> {
+        if candidate.wait().is_some() {
+            return Some(Obstacle::Paused);
+        }
+        if candidate.backend.is_ejected(self.now) {
+            return Some(Obstacle::Ejected);
+        }
+        if !candidate.has_room {
+            return Some(Obstacle::NoRoom);
+        }
+        let (Some(engine), Some(_)) = (self.engine, &call.prompt) else {
+            return None;
+        };
+        let plan = self.plan_prefill(call, candidate, candidates, engine, false);
+        let interactive = self.is_interactive(call);
+        let (_, obstacle, _) = self.assess_engine(call, candidate, engine, interactive, plan);
+        obstacle
+    }
+
+    /// Returns the cost of a call at an engine, what rules the engine out, and the resulting choice.
+    fn assess_engine(
+        &self,
+        call: &Call,
+        candidate: &Candidate,
+        engine: EngineLimits,
+        interactive: bool,
+        plan: PrefillPlan,
+    ) -> (f64, Option<Obstacle>, ServerChoice) {
+        let (cost, full, choice) = engine_cost(call, candidate, engine, interactive, plan);
+        let obstacle = if choice.expected_wait > self.max_admitted_wait(call) {
+            Some(Obstacle::Late)
+        } else if self.delays_urgent_prompts(candidate.backend, &choice) {
+            Some(Obstacle::Yields)
+        } else {
+            full
+        };
+        (cost, obstacle, choice)
+    }
+
     /// Returns whether prefilling a prompt would make more urgent prompts that arrive later miss
     /// their target.
     ///
@@ -340,14 +397,14 @@
     best.map(|(_, id)| id.clone())
 }
 
-/// Returns the cost of a call at an engine, whether the engine is full, and the resulting choice.
+/// Returns the cost of a call at an engine, why the engine is full if it is, and the resulting choice.
 fn engine_cost(
     call: &Call,
     candidate: &Candidate,
     engine: EngineLimits,
     interactive: bool,
     plan: PrefillPlan,
-) -> (f64, bool, ServerChoice) {
+) -> (f64, Option<Obstacle>, ServerChoice) {
     let backend = candidate.backend;
     let rate = backend.prefill_rate();
     let PrefillPlan {
@@ -377,10 +434,14 @@
     // Among the requests that wait for a slot, engines start the urgent ones first.
     let no_slot = backend.running_up_to(call.priority()) >= slots
         || running >= slots.saturating_add(slots / URGENT_SLOTS_DIVISOR);
-    if no_slot || (running > 0 && memory > capacity * MAX_MEMORY_SHARE) {
-        cost += FULL_COST;
-    }
-    let is_full = cost >= FULL_COST;
+    let no_memory = running > 0 && memory > capacity * MAX_MEMORY_SHARE;
+    let full = if no_slot {
+        Some(Obstacle::NoSlot)
+    } else if no_memory {
+        Some(Obstacle::NoMemory)
+    } else {
+        (cost >= FULL_COST).then_some(Obstacle::Busy)
+    };
     cost += PREFILL_SECOND_COST * (prefill_cost / rate + copy_ms) / 1000.0;
     // Spreads interactive streams over the engines of their group.
     cost += 0.2 * f64::from(running) / f64::from(slots);
@@ -391,5 +452,5 @@
         copy_from,
         interactive,
     };
-    (cost, is_full, choice)
+    (cost, full, choice)
 }
--- a/crates/verbenahinge-core/src/gateway/state.rs
+++ b/crates/verbenahinge-core/src/gateway/state.rs
@@ -27,8 +27,8 @@
 use super::placement::Candidate;
 use super::{
     Backend, Bounds, Call, CallId, CrashGuard, LoadReport, PlacementContext, PlacementError,
-    Priority, Registry, RetryWindow, Routing, ServerChoice, ServerEntry, ServiceName,
-    SoftwareHistory, StreamOrigins,
+    PlacementSurvey, Priority, Registry, RetryWindow, Routing, ServerChoice, ServerEntry,
+    ServerOrder, ServiceName, SoftwareHistory, StreamOrigins,
 };
 use crate::{FailureKind, ServerName, Timestamp, VmId, ZoneName};
 
@@ -39,6 +39,7 @@
 struct Peer {
     last_digest_at: Timestamp,
     interactive_tokens_per_s: u32,
+    interactive_streams: u32,
 }
 
 /// State of one gateway VM: configuration, backend servers and their load, and the other VMs.
@@ -239,6 +240,30 @@
         context.choose(call, &candidates)
     }
 
+    /// Counts why servers cannot get a call: those that were queried, or all if none were.
+    #[must_use]
+    pub fn survey(
+        &self,
+        now: Timestamp,
+        call: &Call,
+        tried: &[ServerName],
+        queried: &[ServerName],
+    ) -> PlacementSurvey {
+        let mut candidates = self.candidates(now, call, tried);
+        if !queried.is_empty() {
+            candidates.retain(|candidate| queried.contains(&candidate.entry.id));
+        }
+        let context = self.placement_context(now, call);
+        PlacementSurvey {
+            servers: self
+                .registry
+                .order(&call.service)
+                .map_or(0, ServerOrder::len),
+            considered: candidates.len(),
+            obstacles: context.count_obstacles(call, &candidates),
+        }
+    }
+
     /// Ranks engines for a call by its prompt alone, without their load, best first.
     ///
     /// Omits engines in `tried`, ejected ones and those that pause; empty if the call has no prompt.
--- a/crates/verbenahinge-core/src/gateway/state/demand.rs
+++ b/crates/verbenahinge-core/src/gateway/state/demand.rs
@@ -5,10 +5,10 @@
 
 use std::time::Duration;
 
-use super::GatewayState;
+use super::{GatewayState, Peer};
 use crate::Timestamp;
 use crate::gateway::number::to_u32;
-use crate::gateway::{Call, RetryWindow};
+use crate::gateway::{Backend, Call, RetryWindow};
 
 /// Time constant of the exponential decay of the measured demand for interactive streams.
 const DEMAND_TIME_CONSTANT: Duration = Duration::from_secs(2);
@@ -87,7 +87,7 @@
             return;
         }
         let own = self.own_interactive_tokens_per_s(now);
-        let tokens_per_s = own + self.peer_interactive_tokens_per_s(now);
+        let tokens_per_s = own + self.peer_demand(now, |peer| peer.interactive_tokens_per_s);
         let mut total_prefill_rate = 0.0;
         let mut streams = 0;
         for id in order.names() {
@@ -96,12 +96,15 @@
                 streams += backend.interactive();
             }
         }
+        // In a large fleet, this VM knows the load of the engines only that it has queried lately.
+        let own_streams = f64::from(self.own_interactive_streams());
+        let reported_streams = own_streams + self.peer_demand(now, |peer| peer.interactive_streams);
+        let streams = f64::from(streams).max(reported_streams);
         let prefill_rate_per_engine = total_prefill_rate * 1000.0 / f64::from(engines);
         let slots_per_engine = f64::from(order.slots()) / f64::from(engines);
         let engines_by_prefill =
             tokens_per_s / (prefill_rate_per_engine * INTERACTIVE_PREFILL_FRACTION).max(1.0);
-        let engines_by_slots =
-            f64::from(streams) / (slots_per_engine * INTERACTIVE_SLOT_FRACTION).max(1.0);
+        let engines_by_slots = streams / (slots_per_engine * INTERACTIVE_SLOT_FRACTION).max(1.0);
         let required = engines_by_prefill.max(engines_by_slots);
         self.group_sizes_updated_at
             .insert(call.service.clone(), now);
@@ -118,19 +121,19 @@
         }
     }
 
-    /// Prompt tokens per second of interactive streams from callers of other VMs.
+    /// Demand of the callers of other VMs, as a sum of what these have reported.
     ///
     /// In a large fleet, most reports are some seconds old, so the recent ones are extrapolated to
     /// all VMs.
-    fn peer_interactive_tokens_per_s(&self, now: Timestamp) -> f64 {
+    fn peer_demand(&self, now: Timestamp, reported_by: impl Fn(&Peer) -> u32) -> f64 {
         let mut reported = 0.0;
         let mut recent = 0.0;
         let mut recent_vms: u32 = 0;
         for peer in self.peers.values() {
-            let tokens_per_s = f64::from(peer.interactive_tokens_per_s);
-            reported += tokens_per_s;
+            let demand = f64::from(reported_by(peer));
+            reported += demand;
             if peer.last_digest_at + SAMPLE_MAX_AGE > now {
-                recent += tokens_per_s;
+                recent += demand;
                 recent_vms += 1;
             }
         }
@@ -151,6 +154,11 @@
             .min()
     }
 
+    /// Interactive streams from callers of this VM that are in flight.
+    pub(super) fn own_interactive_streams(&self) -> u32 {
+        self.backends.values().map(Backend::own_interactive).sum()
+    }
+
     /// Prompt tokens per second of interactive streams from callers of this VM.
     pub(super) fn own_interactive_tokens_per_s(&self, now: Timestamp) -> f64 {
         self.interactive_tokens_per_s
--- a/crates/verbenahinge-core/src/gateway/state/peer_digest.rs
+++ b/crates/verbenahinge-core/src/gateway/state/peer_digest.rs
@@ -22,6 +22,8 @@
     pub vm: VmId,
     /// Prompt tokens per second of interactive streams from callers of the sender.
     pub interactive_tokens_per_s: u32,
+    /// Interactive streams of the sender's callers that are in flight.
+    pub interactive_streams: u32,
     /// Load that the sender puts on servers.
     pub servers: Vec<ServerDigest>,
     /// Requests that were running when servers crashed, with those crashes.
@@ -94,6 +96,7 @@
         PeerDigest {
             vm: self.vm,
             interactive_tokens_per_s: to_u32(tokens_per_s),
+            interactive_streams: self.own_interactive_streams(),
             ..PeerDigest::default()
         }
     }
@@ -120,6 +123,7 @@
         let peer = Peer {
             last_digest_at: now,
             interactive_tokens_per_s: digest.interactive_tokens_per_s,
+            interactive_streams: digest.interactive_streams,
         };
         self.peers.insert(digest.vm, peer);
         learned
--- /dev/null
+++ b/crates/verbenahinge-core/tests/support/engine_fleet.rs
@@ -0,0 +1,391 @@
+//! A fleet of VMs before inference engines in virtual time: VMs query the load of engines from the VMs
+//! that aggregate it, or hear of it in digests if they are few.
+
+#[path = "engine_fleet/engine.rs"]
+mod engine;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use verbenahinge_core::gateway::{
+    Bounds, Call, DIGEST_INTERVAL, EngineLimits, EngineSearch, GatewayState, LoadChanges,
+    PlacementError, Route, Routing, ServerChoice, ServerEntry, Service,
+};
+use verbenahinge_core::hash::{hash64, mix64};
+use verbenahinge_core::{ServerName, Timestamp};
+
+use self::engine::{Engine, Job};
+use super::engines::prompt_call;
+
+/// Time of a query of load and its reply.
+const QUERY_TIME: Duration = Duration::from_millis(3);
+
+/// Time between a VM and an engine.
+const LINK_TIME: Duration = Duration::from_millis(1);
+
+/// VMs from which on load is queried instead of told to all.
+const LARGE_FLEET_VMS: usize = 18;
+
+/// VMs that hear the demand of a VM in one of its rounds.
+const DEMAND_FANOUT: usize = 16;
+
+/// Rounds between two digests with the demand of a VM.
+const DEMAND_ROUNDS: u64 = 3;
+
+/// Requests of one class.
+pub(crate) struct LoadClass {
+    pub(crate) route: Arc<Route>,
+    pub(crate) per_s: f64,
+    /// Prompts with different shared parts.
+    pub(crate) subjects: u64,
+    pub(crate) shared_tokens: u32,
+    pub(crate) own_tokens: u32,
+    pub(crate) events: u32,
+}
+
+/// VMs and engines of a fleet.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FleetShape {
+    pub(crate) vms: usize,
+    pub(crate) engines: usize,
+    pub(crate) slots: u32,
+    pub(crate) tokens_per_event: u32,
+}
+
+/// What became of the requests of one class.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ClassOutcome {
+    pub(crate) arrived: u32,
+    pub(crate) refused: u32,
+    pub(crate) late: u32,
+    /// Engines whose load was queried.
+    pub(crate) queried: u32,
+}
+
+impl ClassOutcome {
+    /// Share of the requests that were refused or late.
+    pub(crate) fn lost_share(self) -> f64 {
+        f64::from(self.refused + self.late) / f64::from(self.arrived.max(1))
+    }
+}
+
+enum Event {
+    Arrival(usize),
+    Queried(Box<(usize, usize, Call, EngineSearch)>),
+    Sent(usize, Box<Job>),
+    PrefillEnd(usize),
+    StreamEvent(usize, Box<Job>),
+    Digest(usize, u64),
+}
+
+/// A fleet, its engines and the requests that callers send.
+pub(crate) struct EngineFleet {
+    shape: FleetShape,
+    classes: Vec<LoadClass>,
+    pub(crate) outcomes: Vec<ClassOutcome>,
+    vms: Vec<GatewayState>,
+    engines: Vec<Engine>,
+    engine_names: Vec<ServerName>,
+    told: Vec<LoadChanges>,
+    events: BTreeMap<(Timestamp, u64), Event>,
+    event_count: u64,
+    seed: u64,
+    draws: u64,
+    calls: u64,
+    now: Timestamp,
+}
+
+impl EngineFleet {
+    pub(crate) fn new(shape: FleetShape, classes: Vec<LoadClass>, seed: u64) -> Self {
+        let names: Vec<ServerName> = (0..shape.engines)
+            .map(|index| format!("engine-{index}").into())
+            .collect();
+        let mut fleet = Self {
+            outcomes: vec![ClassOutcome::default(); classes.len()],
+            vms: (0..shape.vms).map(|vm| new_vm(shape, vm, &names)).collect(),
+            engines: (0..shape.engines)
+                .map(|_| Engine::new(shape.slots as usize))
+                .collect(),
+            engine_names: names,
+            told: vec![LoadChanges::new(); shape.vms],
+            shape,
+            classes,
+            events: BTreeMap::new(),
+            event_count: 0,
+            seed,
+            draws: 0,
+            calls: 0,
+            now: Duration::from_secs(1),
+        };
+        for vm in 0..shape.vms {
+            let phase = fleet.draw() % 100;
+            fleet.schedule(Duration::from_millis(phase), Event::Digest(vm, 0));
+        }
+        for class in 0..fleet.classes.len() {
+            let gap = fleet.gap(class);
+            fleet.schedule(gap, Event::Arrival(class));
+        }
+        fleet
+    }
+
+    /// Plays the load for some time.
+    pub(crate) fn run(&mut self, length: Duration) {
+        let ends_at = self.now + length;
+        while let Some(((at, _), event)) = self.events.pop_first() {
+            if at > ends_at {
+                break;
+            }
+            self.now = at;
+            self.handle(event);
+        }
+        self.now = ends_at;
+    }
+
+    fn draw(&mut self) -> u64 {
+        self.draws += 1;
+        mix64(self.seed, self.draws)
+    }
+
+    fn below(&mut self, limit: usize) -> usize {
+        usize::try_from(self.draw() % limit as u64).expect("an index")
+    }
+
+    fn schedule(&mut self, delay: Duration, event: Event) {
+        self.event_count += 1;
+        self.events
+            .insert((self.now + delay, self.event_count), event);
+    }
+
+    /// Time until the next request of a class, exponentially distributed.
+    fn gap(&mut self, class: usize) -> Duration {
+        #[allow(clippy::cast_precision_loss, reason = "30 bits are exact")]
+        let uniform = ((self.draw() >> 34) as f64 + 1.0) / f64::from(1 << 30);
+        Duration::from_secs_f64(-uniform.ln() / self.classes[class].per_s)
+    }
+
+    fn is_large(&self) -> bool {
+        self.shape.vms >= LARGE_FLEET_VMS
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrival(class) => self.arrive(class),
+            Event::Queried(query) => {
+                let (class, vm, call, search) = *query;
+                self.read_load(vm, &call, &search);
+                let choice = search.choose(self.now, &self.vms[vm], &call);
+                self.conclude(class, vm, call, search, choice);
+            }
+            Event::Sent(engine, job) => {
+                self.engines[engine].add(*job);
+                self.begin_prefill(engine);
+            }
+            Event::PrefillEnd(engine) => self.end_prefill(engine),
+            Event::StreamEvent(engine, job) => self.stream_event(engine, *job),
+            Event::Digest(vm, round) => self.send_digest(vm, round),
+        }
+    }
+
+    fn arrive(&mut self, class: usize) {
+        let gap = self.gap(class);
+        self.schedule(gap, Event::Arrival(class));
+        let vm = self.below(self.shape.vms);
+        let kind = &self.classes[class];
+        let route = Arc::clone(&kind.route);
+        let (shared_tokens, own_tokens) = (kind.shared_tokens, kind.own_tokens);
+        let subject = mix64(class as u64, self.draw() % self.classes[class].subjects);
+        self.calls += 1;
+        let own = mix64(self.seed, self.calls);
+        let parts = [(subject, shared_tokens), (own, own_tokens)];
+        let call = prompt_call(self.calls, &route, self.now, &parts);
+        self.outcomes[class].arrived += 1;
+        self.vms[vm].note_arrival(self.now, &call);
+        if self.is_large() {
+            self.search(class, vm, call, EngineSearch::new(Vec::new()));
+        } else {
+            let choice = self.vms[vm].choose_server(self.now, &call, &[]);
+            self.place(class, vm, call, choice);
+        }
+    }
+
+    fn search(&mut self, class: usize, vm: usize, call: Call, mut search: EngineSearch) {
+        let engines = search.next_engines(self.now, &mut self.vms[vm], &call);
+        if engines.is_empty() {
+            let choice = search.choose(self.now, &self.vms[vm], &call);
+            self.place(class, vm, call, choice);
+            return;
+        }
+        self.outcomes[class].queried += u32::try_from(engines.len()).expect("few engines");
+        let query = Box::new((class, vm, call, search));
+        self.schedule(QUERY_TIME, Event::Queried(query));
+    }
+
+    fn conclude(
+        &mut self,
+        class: usize,
+        vm: usize,
+        call: Call,
+        search: EngineSearch,
+        choice: Result<ServerChoice, PlacementError>,
+    ) {
+        match choice {
+            Err(reason) if EngineSearch::may_continue(reason) => {
+                self.search(class, vm, call, search);
+            }
+            choice => self.place(class, vm, call, choice),
+        }
+    }
+
+    fn aggregator(&self, server: u64) -> usize {
+        let weight = |vm: &usize| mix64(server, *vm as u64);
+        (0..self.shape.vms).max_by_key(weight).expect("a VM")
+    }
+
+    fn read_load(&mut self, vm: usize, call: &Call, search: &EngineSearch) {
+        let prompt = call.prompt.as_ref().expect("requests have prompts");
+        let parts: Vec<u64> = prompt.shared_parts().iter().map(|part| part.id).collect();
+        for name in search.queried() {
+            let server = hash64(name.as_bytes());
+            let aggregator = self.aggregator(server);
+            if aggregator == vm {
+                continue;
+            }
+            let id = vm_id(vm);
+            let load = self.vms[aggregator].aggregated_load_for(self.now, id, server, &parts);
+            if let Some(load) = load {
+                self.vms[vm].note_aggregated_load(self.now, load);
+            }
+        }
+    }
+
+    fn place(
+        &mut self,
+        class: usize,
+        vm: usize,
+        call: Call,
+        choice: Result<ServerChoice, PlacementError>,
+    ) {
+        let Ok(choice) = choice else {
+            self.outcomes[class].refused += 1;
+            return;
+        };
+        self.vms[vm].note_sent(self.now, &call, &choice);
+        self.tell_aggregator(vm, &choice.server);
+        let engine = self.engine_index(&choice.server);
+        let job = Job {
+            call,
+            class,
+            vm,
+            copied: choice.copy_from.is_some(),
+            events_left: self.classes[class].events,
+        };
+        self.schedule(LINK_TIME, Event::Sent(engine, Box::new(job)));
+    }
+
+    fn engine_index(&self, name: &str) -> usize {
+        let found = self.engine_names.iter().position(|other| **other == *name);
+        found.expect("the engine is known")
+    }
+
+    fn tell_aggregator(&mut self, vm: usize, server: &str) {
+        if !self.is_large() {
+            return;
+        }
+        let aggregator = self.aggregator(hash64(server.as_bytes()));
+        let mut digest = self.vms[vm].digest_without_load(self.now);
+        digest.servers.extend(self.vms[vm].own_load(server));
+        if aggregator != vm {
+            self.vms[aggregator].apply_digest(self.now, &digest);
+        }
+    }
+
+    fn begin_prefill(&mut self, engine: usize) {
+        if let Some(ends_at) = self.engines[engine].begin_prefill(self.now) {
+            let delay = ends_at.saturating_sub(self.now);
+            self.schedule(delay, Event::PrefillEnd(engine));
+        }
+    }
+
+    fn end_prefill(&mut self, engine: usize) {
+        let job = self.engines[engine].end_prefill();
+        let name = self.engine_names[engine].clone();
+        self.vms[job.vm].note_first_token(self.now, job.call.id, &name);
+        let waited = self.now.saturating_sub(job.call.arrived) + LINK_TIME;
+        if waited > job.call.route.latency_target {
+            self.outcomes[job.class].late += 1;
+        }
+        self.stream_event(engine, job);
+        self.begin_prefill(engine);
+    }
+
+    fn stream_event(&mut self, engine: usize, mut job: Job) {
+        if job.events_left == 0 {
+            let name = self.engine_names[engine].clone();
+            self.vms[job.vm].note_ended(job.call.id, &name);
+            self.engines[engine].end_stream();
+            self.begin_prefill(engine);
+            return;
+        }
+        job.events_left -= 1;
+        let time = self.engines[engine].event_time(self.now, self.shape.tokens_per_event);
+        self.schedule(time, Event::StreamEvent(engine, Box::new(job)));
+    }
+
+    fn send_digest(&mut self, vm: usize, round: u64) {
+        let mut digest = self.vms[vm].full_digest(self.now);
+        digest.servers = self.told[vm].take(&digest.servers);
+        if self.is_large() {
+            for server in &digest.servers {
+                let aggregator = self.aggregator(server.server);
+                if aggregator == vm {
+                    continue;
+                }
+                let mut told = self.vms[vm].digest_without_load(self.now);
+                told.servers.push(server.clone());
+                self.vms[aggregator].apply_digest(self.now, &told);
+            }
+            if round.is_multiple_of(DEMAND_ROUNDS) {
+                let demand = self.vms[vm].digest_without_load(self.now);
+                for _ in 0..DEMAND_FANOUT {
+                    let other = self.below(self.shape.vms);
+                    if other != vm {
+                        self.vms[other].apply_digest(self.now, &demand);
+                    }
+                }
+            }
+        } else {
+            for other in (0..self.shape.vms).filter(|&other| other != vm) {
+                self.vms[other].apply_digest(self.now, &digest);
+            }
+        }
+        self.vms[vm].tick(self.now, Duration::from_mins(1));
+        self.schedule(DIGEST_INTERVAL, Event::Digest(vm, round + 1));
+    }
+}
+
+fn vm_id(vm: usize) -> u64 {
+    vm as u64 + 1
+}
+
+fn new_vm(shape: FleetShape, vm: usize, engines: &[ServerName]) -> GatewayState {
+    let mut routing = Routing::new(1);
+    let service = Service {
+        max_connections: 670,
+        engine: Some(EngineLimits {
+            slots: shape.slots,
+            memory_tokens: 257_981,
+            token_copy: Some(Duration::from_nanos(9400)),
+            tokens_per_event: shape.tokens_per_event,
+        }),
+    };
+    routing.services.insert("engines".into(), service);
+    let mut state = GatewayState::new(vm_id(vm), "a".into(), Bounds::default());
+    state.adopt_routing(routing);
+    for (port, name) in (9000..).zip(engines) {
+        let entry = ServerEntry::new(name, "engines", ([127, 0, 0, 1], port).into());
+        state.upsert_server(entry.availability_zone("a").slots(shape.slots));
+    }
+    state.mark_registry_complete();
+    state
+}
--- /dev/null
+++ b/crates/verbenahinge-core/tests/support/engine_fleet/engine.rs
@@ -0,0 +1,120 @@
+//! An engine in virtual time, which prefills prompts by priority and slows its streams meanwhile.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use verbenahinge_core::Timestamp;
+use verbenahinge_core::gateway::{Call, PartId, Priority};
+
+/// Prefill rate, in tokens per ms.
+const PREFILL_RATE: f64 = 50.7;
+
+/// Duration of a step without prefill.
+const STEP: Duration = Duration::from_micros(6700);
+
+/// Tokens of a prompt that are prefilled in one step.
+const CHUNK_TOKENS: f64 = 2048.0;
+
+/// Request at an engine.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    pub(crate) call: Call,
+    pub(crate) class: usize,
+    pub(crate) vm: usize,
+    pub(crate) copied: bool,
+    pub(crate) events_left: u32,
+}
+
+/// Order in which an engine admits and prefills requests.
+type JobKey = (Priority, u64);
+
+/// An engine that runs a limited number of requests and prefills one prompt at a time.
+#[derive(Default)]
+pub(crate) struct Engine {
+    slots: usize,
+    sequence: u64,
+    waiting: BTreeMap<JobKey, Job>,
+    unread: BTreeMap<JobKey, Job>,
+    reading: Option<(Job, Timestamp)>,
+    streams: usize,
+    cached: BTreeSet<PartId>,
+}
+
+impl Engine {
+    pub(crate) fn new(slots: usize) -> Self {
+        Self {
+            slots,
+            ..Self::default()
+        }
+    }
+
+    /// Adds a request; it waits if all slots are in use.
+    pub(crate) fn add(&mut self, job: Job) {
+        self.sequence += 1;
+        self.waiting
+            .insert((job.call.priority(), self.sequence), job);
+        self.admit();
+    }
+
+    /// Ends a stream.
+    pub(crate) fn end_stream(&mut self) {
+        self.streams -= 1;
+        self.admit();
+    }
+
+    fn admit(&mut self) {
+        while self.streams + self.unread.len() + usize::from(self.reading.is_some()) < self.slots
+            && let Some((key, job)) = self.waiting.pop_first()
+        {
+            self.unread.insert(key, job);
+        }
+    }
+
+    /// Begins the next prefill if none is running; returns the time at which it ends.
+    pub(crate) fn begin_prefill(&mut self, now: Timestamp) -> Option<Timestamp> {
+        if self.reading.is_some() {
+            return None;
+        }
+        let (_, job) = self.unread.pop_first()?;
+        let ends_at = now + self.prefill_time(&job);
+        self.reading = Some((job, ends_at));
+        Some(ends_at)
+    }
+
+    fn prefill_time(&self, job: &Job) -> Duration {
+        let prompt = job.call.prompt.as_ref().expect("requests have prompts");
+        let shared = prompt.shared_parts().len();
+        let mut is_prefix = true;
+        let mut tokens = 0.0;
+        for (index, part) in prompt.parts.iter().enumerate() {
+            let is_copied = job.copied && index < shared;
+            is_prefix &= is_copied || self.cached.contains(&part.id);
+            if !is_prefix {
+                tokens += f64::from(part.tokens);
+            }
+        }
+        STEP + Duration::from_secs_f64(tokens / PREFILL_RATE / 1000.0)
+    }
+
+    /// Ends the prefill of a prompt, which becomes a stream.
+    pub(crate) fn end_prefill(&mut self) -> Job {
+        let (job, _) = self.reading.take().expect("a prompt is being prefilled");
+        let prompt = job.call.prompt.as_ref().expect("requests have prompts");
+        self.cached.extend(prompt.parts.iter().map(|part| part.id));
+        self.streams += 1;
+        job
+    }
+
+    /// Time until the next event of a stream that takes the given number of steps.
+    pub(crate) fn event_time(&self, now: Timestamp, steps: u32) -> Duration {
+        let chunk = Duration::from_secs_f64(CHUNK_TOKENS / PREFILL_RATE / 1000.0);
+        let mut backlog = Duration::ZERO;
+        if let Some((_, ends_at)) = &self.reading {
+            backlog += ends_at.saturating_sub(now);
+        }
+        for job in self.unread.values() {
+            backlog += self.prefill_time(job);
+        }
+        STEP * steps + backlog.min(chunk * steps)
+    }
+}
--- a/crates/verbenahinge/src/gateway/peer_message.rs
+++ b/crates/verbenahinge/src/gateway/peer_message.rs
@@ -76,6 +76,9 @@
     pub(super) vm: u64,
     #[prost(uint32, tag = "3")]
     pub(super) interactive_tokens_per_s: u32,
+    /// Interactive streams of the sender's callers that are in flight.
+    #[prost(uint32, tag = "27")]
+    pub(super) interactive_streams: u32,
     #[prost(message, repeated, tag = "4")]
     pub(super) servers: Vec<ServerMessage>,
     #[prost(message, repeated, tag = "5")]
@@ -189,6 +192,7 @@
         Self {
             vm: digest.vm,
             interactive_tokens_per_s: digest.interactive_tokens_per_s,
+            interactive_streams: digest.interactive_streams,
             servers,
             crashes: crashes.map(CrashMessage::from_record).collect(),
             feeds,
@@ -207,6 +211,7 @@
         PeerDigest {
             vm: self.vm,
             interactive_tokens_per_s: self.interactive_tokens_per_s,
+            interactive_streams: self.interactive_streams,
             servers,
             crashes: crashes.map(CrashMessage::into_record).collect(),
         }
--- a/crates/verbenahinge/src/gateway/peers.rs
+++ b/crates/verbenahinge/src/gateway/peers.rs
@@ -19,7 +19,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 use verbenahinge_core::Timestamp;
-use verbenahinge_core::gateway::{DIGEST_INTERVAL, Members, PeerDigest, ServerDigest};
+use verbenahinge_core::gateway::{DIGEST_INTERVAL, LoadChanges, Members, PeerDigest, PeerLoad};
 use verbenahinge_core::hash::jitter;
 use verbenahinge_platform::node_file::VmSettings;
 
@@ -168,21 +168,21 @@
 
 /// Sends a digest in each round, for as long as the process runs.
 pub(super) async fn send_digests(gateway: Rc<Gateway>) {
-    let mut last_sent: BTreeMap<u64, ServerDigest> = BTreeMap::new();
+    let mut load_changes = LoadChanges::new();
     loop {
         thread_holds::measured_sleep(&gateway, DIGEST_INTERVAL).await;
         let now = gateway.now();
         let mut digest = gateway.state.borrow().full_digest(now);
-        let mut changed = digest.servers.clone();
-        changed.retain(|server| last_sent.get(&server.server) != Some(server));
-        for server in &changed {
-            last_sent.insert(server.server, server.clone());
-        }
+        let changed = load_changes.take(&digest.servers);
         let round = {
             let mut members = gateway.peers.members.borrow_mut();
             members.next_round(now, !changed.is_empty())
         };
-        if !round.is_full {
+        if round.is_full {
+            let unused = changed.into_iter();
+            let unused = unused.filter(|server| server.load == PeerLoad::default());
+            digest.servers.extend(unused);
+        } else {
             digest.servers = changed;
             digest.crashes.clear();
         }
--- a/crates/verbenahinge/src/gateway/request_handler.rs
+++ b/crates/verbenahinge/src/gateway/request_handler.rs
@@ -8,7 +8,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use verbenahinge_core::gateway::{Call, PlacementError, ServerChoice};
+use verbenahinge_core::gateway::{
+    Call, EngineSearch, PlacementError, PlacementSurvey, ServerChoice,
+};
 use verbenahinge_core::{FailureKind, ServerName, Timestamp, Verdict};
 
 use self::attempts::Unserved;
@@ -19,10 +21,6 @@
 use super::response::CallerResponse;
 use super::{peers, relay};
 
-/// Maximum number of servers whose load is queried for one request; with more, each of them would
-/// need the shared prompt parts in memory.
-const MAX_QUERIED_SERVERS: usize = 2;
-
 /// Maximum number of servers for which a request asks for a permit; each query takes a network round
 /// trip.
 const MAX_PERMIT_QUERIES: usize = 2;
@@ -65,6 +63,8 @@
     pub(crate) verdict: Verdict,
     first_event_at: Option<Timestamp>,
     choice: Option<ServerChoice>,
+    /// Why the last search found no server.
+    survey: PlacementSurvey,
     is_outcome_recorded: bool,
     crash_watch: CrashWatch,
     _guard: RequestGuard,
@@ -82,6 +82,7 @@
             verdict: Verdict::NotRun,
             first_event_at: None,
             choice: None,
+            survey: PlacementSurvey::default(),
             is_outcome_recorded: false,
             crash_watch: CrashWatch::default(),
             _guard: guard,
@@ -96,10 +97,10 @@
     /// Selects a server for the next attempt.
     ///
     /// In a deployment with too many VMs for each to know the load of every server, queries the
-    /// load of the few servers that rank best for the prompt.
+    /// load of the few servers that rank best for the prompt, and of more if these are not suitable.
     ///
     /// There, a request to a rate-limited server also needs a permit.
-    pub(crate) async fn select_server(&self) -> Result<ServerChoice, PlacementError> {
+    pub(crate) async fn select_server(&mut self) -> Result<ServerChoice, PlacementError> {
         self.check_suspects().await?;
         let mut excluded = self.tried_servers.clone();
         for _ in 0..MAX_PERMIT_QUERIES {
@@ -124,34 +125,62 @@
         }
     }
 
-    async fn choose_server(&self, excluded: &[ServerName]) -> Result<ServerChoice, PlacementError> {
+    async fn choose_server(
+        &mut self,
+        excluded: &[ServerName],
+    ) -> Result<ServerChoice, PlacementError> {
         let now = self.gateway.now();
-        if self.call.prompt.is_none() || !self.gateway.peers.is_large_fleet(now) {
-            let mut state = self.gateway.state.borrow_mut();
-            return state.choose_server(now, &self.call, excluded);
+        if self.call.prompt.is_some() && self.gateway.peers.is_large_fleet(now) {
+            return self.search_engine(excluded).await;
         }
-        let ranked = {
-            let mut state = self.gateway.state.borrow_mut();
-            state.rank_engines(now, &self.call, excluded, MAX_QUERIED_SERVERS)
-        };
-        if ranked.is_empty() {
-            let mut state = self.gateway.state.borrow_mut();
-            return Err(state.refuse_unplaced(now, &self.call));
+        let mut state = self.gateway.state.borrow_mut();
+        let choice = state.choose_server(now, &self.call, excluded);
+        if choice.is_err() {
+            self.survey = state.survey(now, &self.call, excluded, &[]);
+        }
+        choice
+    }
+
+    /// Searches for an engine in a fleet whose VMs query the load of engines.
+    async fn search_engine(
+        &mut self,
+        excluded: &[ServerName],
+    ) -> Result<ServerChoice, PlacementError> {
+        let mut search = EngineSearch::new(excluded.to_vec());
+        let mut refusal = None;
+        loop {
+            let engines = {
+                let now = self.gateway.now();
+                let mut state = self.gateway.state.borrow_mut();
+                search.next_engines(now, &mut state, &self.call)
+            };
+            if engines.is_empty() {
+                break;
+            }
+            peers::query_load(&self.gateway, &engines, &self.call).await;
+            let now = self.gateway.now();
+            let state = self.gateway.state.borrow();
+            match search.choose(now, &state, &self.call) {
+                Err(reason) if EngineSearch::may_continue(reason) => refusal = Some(reason),
+                // The queried engines have left or paused in the meantime.
+                Err(_) => {
+                    refusal = None;
+                    break;
+                }
+                choice => return choice,
+            }
         }
-        peers::query_load(&self.gateway, &ranked, &self.call).await;
         let now = self.gateway.now();
         let mut state = self.gateway.state.borrow_mut();
-        match state.choose_among(now, &self.call, &ranked) {
-            // The ranked servers have left or paused in the meantime.
-            Err(
-                PlacementError::NoServer
-                | PlacementError::NoServerOfVersion
-                | PlacementError::Limited(_),
-            ) => state.choose_server(now, &self.call, excluded),
-            choice => choice,
+        self.survey = search.survey(now, &state, &self.call);
+        if let Some(reason) = refusal {
+            return Err(reason);
+        }
+        if search.queried().is_empty() {
+            return Err(state.refuse_unplaced(now, &self.call));
         }
+        state.choose_server(now, &self.call, excluded)
     }
-
     /// Records the start of an attempt at the chosen server.
     pub(crate) fn begin_attempt(&mut self, choice: &ServerChoice) -> AttemptGuard {
         self.attempt_count += 1;
--- a/crates/verbenahinge/src/gateway/request_handler/final_response.rs
+++ b/crates/verbenahinge/src/gateway/request_handler/final_response.rs
@@ -49,19 +49,16 @@
             PlacementError::Full | PlacementError::CrashSuspect => RETRY_AFTER_MIN,
             PlacementError::Quarantined(time_left) => time_left,
         };
+        let cause = format!("{reason:?}");
         if self.verdict == Verdict::MayHaveRun {
-            return self.respond_with_error(StatusCode::BAD_GATEWAY, None, &format!("{reason:?}"));
+            return self.respond_with_error(StatusCode::BAD_GATEWAY, None, &cause);
         }
         let time_left = self.call.time_left(self.gateway.now());
         let delay = match reason {
             PlacementError::Quarantined(time_left) => time_left,
             _ => retry_after(excess, time_left, self.call.id),
         };
-        self.respond_with_error(
-            StatusCode::SERVICE_UNAVAILABLE,
-            Some(delay),
-            &format!("{reason:?}"),
-        )
+        self.respond_with_error(StatusCode::SERVICE_UNAVAILABLE, Some(delay), &cause)
     }
 
     /// Responds to a request that no server has answered; the failure of a server is forwarded as it
@@ -110,7 +107,10 @@
         } else {
             "failed"
         };
-        let detail = format!("{cause} retry_after_ms={delay_ms}");
+        let mut detail = format!("{cause} retry_after_ms={delay_ms}");
+        if self.survey.servers > 0 {
+            detail = format!("{detail} {}", self.survey);
+        }
         self.record_outcome(outcome, None, Some(status), &detail);
         let message = format!("request {outcome}: {cause}");
         error_response(status, self.request.id.as_deref(), delay, &message)
