feat(gateway): where streams began is kept in the store while a service has several versions

When all VMs lose power in the midst of a release, nobody knows, so every caller that comes back gets 503 though servers of its version are there.

Ruled out: asking servers for their runs (they drop a run when its connection closes); a version by the beginning time (a VM cut off from the others could begin a stream of the other version).

A VM reads the table when a caller comes back and no VM in reach knows, once a second at most. Nothing is written while services have one version, nor for routes whose streams cannot be resumed. An event never waits for a write.

--- a/crates/verbenahinge-core/src/gateway/members.rs
+++ b/crates/verbenahinge-core/src/gateway/members.rs
@@ -56,6 +56,9 @@
 /// independent of other hash orders.
 const WATCHER_ORDER_SEED: u64 = 0x7761_7463;
 
+/// Hash seed of the choice of the VM that keeps records in the store.
+const KEEPER_SEED: u64 = 0x6b65_6570;
+
 /// Hash seed of the position at which a VM begins its rotation.
 const ROTATION_SEED: u64 = 0x726f_7461;
 
@@ -273,6 +276,21 @@
         holders
     }
 
+    /// Live VM that keeps a ring of records in the store, or `None` if it is this one.
+    ///
+    /// VMs that count the same VMs as live pick the same one.
+    #[must_use]
+    pub fn keeper(&self, now: Timestamp, ring: usize) -> Option<IpAddr> {
+        let weight = |ip: IpAddr| mix64(ring as u64 ^ KEEPER_SEED, address_number(ip));
+        let mut best = (weight(self.own_address), None);
+        for ip in self.live_addresses(now) {
+            if weight(ip) > best.0 {
+                best = (weight(ip), Some(ip));
+            }
+        }
+        best.1
+    }
+
     /// Position of this VM in the order in which live VMs are picked to watch the store.
     ///
     /// VMs that count the same VMs as live agree on that order.
--- a/crates/verbenahinge-core/src/gateway/state/streams.rs
+++ b/crates/verbenahinge-core/src/gateway/state/streams.rs
@@ -1,5 +1,7 @@
 //! Software versions of streams: where they began, and which of them have to be told to other VMs.
 
+use std::time::Duration;
+
 use super::GatewayState;
 use crate::Timestamp;
 use crate::gateway::{
@@ -94,6 +96,12 @@
         self.stream_origins.take_untold(now)
     }
 
+    /// Time after its beginning by which a stream has ended, over all tries of its caller.
+    #[must_use]
+    pub const fn stream_lifetime(&self) -> Duration {
+        self.stream_lifetime
+    }
+
     /// Version of each service's servers, for the store.
     #[must_use]
     pub fn service_software(&self) -> Vec<(ServiceName, ServiceSoftware)> {
--- a/crates/verbenahinge-core/src/gateway/stream_origins.rs
+++ b/crates/verbenahinge-core/src/gateway/stream_origins.rs
@@ -64,6 +64,9 @@
     /// Adds what another VM knows.
     pub fn merge(&mut self, now: Timestamp, origins: &[StreamOrigin]) {
         for &origin in origins {
+            if origin.time_left.is_zero() {
+                continue;
+            }
             let known = self.records.get(&origin.stream);
             if known.is_none_or(|known| known.expires_at < now + origin.time_left) {
                 let is_own = known.is_some_and(|known| known.is_own);
@@ -100,6 +103,11 @@
         self.records.get(&stream).map(|record| record.version)
     }
 
+    /// Streams whose version is known.
+    pub fn streams(&self) -> impl Iterator<Item = StreamId> {
+        self.records.keys().copied()
+    }
+
     /// Version at which a stream began, in the form for other VMs.
     #[must_use]
     pub fn origin(&self, now: Timestamp, stream: StreamId) -> Option<StreamOrigin> {
--- a/crates/verbenahinge-core/tests/support/engine_fleet.rs
+++ b/crates/verbenahinge-core/tests/support/engine_fleet.rs
@@ -75,7 +75,7 @@
     Queried(Box<(usize, usize, Call, EngineSearch)>),
     Sent(usize, Box<Job>),
     PrefillEnd(usize),
-    StreamEvent(usize, Box<Job>),
+    NextToken(usize, Box<Job>),
     Digest(usize, u64),
 }
 
@@ -182,7 +182,7 @@
                 self.begin_prefill(engine);
             }
             Event::PrefillEnd(engine) => self.end_prefill(engine),
-            Event::StreamEvent(engine, job) => self.stream_event(engine, *job),
+            Event::NextToken(engine, job) => self.stream_event(engine, *job),
             Event::Digest(vm, round) => self.send_digest(vm, round),
         }
     }
@@ -329,7 +329,7 @@
         }
         job.events_left -= 1;
         let time = self.engines[engine].event_time(self.now, self.shape.tokens_per_event);
-        self.schedule(time, Event::StreamEvent(engine, Box::new(job)));
+        self.schedule(time, Event::NextToken(engine, Box::new(job)));
     }
 
     fn send_digest(&mut self, vm: usize, round: u64) {
--- a/crates/verbenahinge/src/event_log.rs
+++ b/crates/verbenahinge/src/event_log.rs
@@ -100,6 +100,8 @@
     StreamReturned = 516,
     /// A request was handed over to another VM.
     RequestRelayed = 517,
+    /// Where streams began was read from the store.
+    StreamsRead = 518,
     /// The link to a peer was lost, or the peer announced its shutdown.
     PeerLost = 600,
     /// A link to a peer was established.
--- a/crates/verbenahinge/src/gateway.rs
+++ b/crates/verbenahinge/src/gateway.rs
@@ -29,6 +29,7 @@
 mod server_stream;
 mod shutdown;
 mod software_store;
+mod stream_store;
 mod table_body;
 mod thread_holds;
 mod watch;
@@ -56,6 +57,7 @@
 use self::peers::Peers;
 use self::response_memory::ResponseMemory;
 use self::software_store::SoftwareStore;
+use self::stream_store::StreamStore;
 use self::thread_holds::ThreadHolds;
 use self::watch::Replicas;
 use crate::clock::Clock;
@@ -83,6 +85,7 @@
     pub(crate) crash_checks: CrashChecks,
     pub(crate) crash_store: CrashStore,
     pub(crate) software_store: SoftwareStore,
+    pub(crate) stream_store: StreamStore,
     pub(crate) response_memory: ResponseMemory,
     pub(crate) thread_holds: ThreadHolds,
     pub(crate) is_draining: Cell<bool>,
@@ -174,6 +177,7 @@
         crash_checks: CrashChecks::default(),
         crash_store: CrashStore::new(),
         software_store: SoftwareStore::default(),
+        stream_store: StreamStore::default(),
         response_memory,
         thread_holds: ThreadHolds::default(),
         is_draining: Cell::new(false),
@@ -200,6 +204,7 @@
     spawn_task(&gateway, "newer_config", watch::catch_up_config);
     spawn_task(&gateway, "crash_records", crash_store::sync_records);
     spawn_task(&gateway, "software", software_store::sync_software);
+    spawn_task(&gateway, "streams", stream_store::write_streams);
     spawn_task(&gateway, "membership", watch::discover_vms);
     spawn_task(&gateway, "digests_in", peers::receive_messages);
     spawn_task(&gateway, "digests_out", peers::send_digests);
--- a/crates/verbenahinge/src/gateway/peer_message.rs
+++ b/crates/verbenahinge/src/gateway/peer_message.rs
@@ -138,6 +138,9 @@
     /// Identifier of a query for a stream, repeated in its reply; 0 in other messages.
     #[prost(uint64, tag = "24")]
     pub(super) stream_query_id: u64,
+    /// Ring of rows in which the receiver has to keep the streams of the message in the store.
+    #[prost(uint32, optional, tag = "28")]
+    pub(super) keep_ring: Option<u32>,
     /// Whether the sender is shutting down.
     #[prost(bool, tag = "7")]
     pub(super) is_shutting_down: bool,
--- a/crates/verbenahinge/src/gateway/peers/streams.rs
+++ b/crates/verbenahinge/src/gateway/peers/streams.rs
@@ -11,8 +11,9 @@
 use verbenahinge_core::gateway::{Feed, Route, SoftwareVersion, StreamId, StreamOrigin};
 
 use super::send_to;
-use crate::gateway::Gateway;
 use crate::gateway::peer_message::{MessageKind, PeerMessage, StreamMessage, StreamQueryMessage};
+use crate::gateway::{Gateway, stream_store};
+use verbenahinge_core::Timestamp;
 
 /// Time in which streams are collected before other VMs are told of them.
 const STREAM_PUSH_DELAY: Duration = Duration::from_millis(10);
@@ -57,6 +58,7 @@
 async fn send_streams(gateway: &Gateway) {
     let now = gateway.now();
     let origins = gateway.state.borrow_mut().take_stream_news(now);
+    keep_in_store(gateway, now, &origins).await;
     let mut by_holders: BTreeMap<Vec<IpAddr>, Vec<StreamMessage>> = BTreeMap::new();
     {
         let members = gateway.peers.members.borrow();
@@ -82,12 +84,37 @@
     }
 }
 
+/// Tells streams to the VMs that keep them in the store.
+async fn keep_in_store(gateway: &Gateway, now: Timestamp, origins: &[StreamOrigin]) {
+    let is_large = gateway.peers.is_large_fleet(now);
+    let mut by_ring: BTreeMap<usize, Vec<StreamOrigin>> = BTreeMap::new();
+    for &origin in origins {
+        let ring = stream_store::ring_of(origin.stream, is_large);
+        by_ring.entry(ring).or_default().push(origin);
+    }
+    for (ring, origins) in by_ring {
+        let keeper = gateway.peers.members.borrow().keeper(now, ring);
+        let Some(keeper) = keeper else {
+            stream_store::keep(gateway, ring, &origins);
+            continue;
+        };
+        for origins in origins.chunks(STREAMS_PER_DATAGRAM) {
+            let mut message = stream_message(gateway);
+            let origins = origins.iter().copied();
+            message.streams = origins.map(StreamMessage::from_origin).collect();
+            message.keep_ring = u32::try_from(ring).ok();
+            send_to(gateway, MessageKind::Stream, message, &[keeper]).await;
+        }
+    }
+}
+
 fn stream_message(gateway: &Gateway) -> PeerMessage {
     let digest = gateway.state.borrow().digest_without_load(gateway.now());
     PeerMessage::new(digest, Vec::new(), Vec::new())
 }
 
-/// Finds out at which software version a stream began; `None` if no VM in reach knows.
+/// Finds out at which software version a stream began; `None` if neither a VM in reach nor the store
+/// knows.
 pub(in crate::gateway) async fn find_version(
     gateway: &Rc<Gateway>,
     route: &Route,
@@ -97,8 +124,12 @@
     if known.is_some() {
         return known;
     }
-    let told = query_origin(gateway, route, stream).await;
-    told.map(|origin| origin.version)
+    if let Some(told) = query_origin(gateway, route, stream).await {
+        return Some(told.version);
+    }
+    stream?;
+    stream_store::refresh(gateway).await;
+    local_version(gateway, route, stream)
 }
 
 /// Version at which a stream began as far as this VM knows: by what it was told, or as the only version
@@ -169,6 +200,10 @@
     let now = gateway.now();
     let streams = message.streams.iter();
     let origins: Vec<StreamOrigin> = streams.map(|stream| stream.into_origin()).collect();
+    if let Some(ring) = message.keep_ring {
+        let ring = usize::try_from(ring).unwrap_or(usize::MAX);
+        stream_store::keep(gateway, ring, &origins);
+    }
     if message.stream_query_id == 0 && !origins.is_empty() {
         gateway
             .state
--- a/crates/verbenahinge/src/gateway/request_handler/stream_version.rs
+++ b/crates/verbenahinge/src/gateway/request_handler/stream_version.rs
@@ -56,6 +56,9 @@
     /// they cannot know.
     pub(crate) fn note_stream_version(&mut self, version: SoftwareVersion) {
         Rc::make_mut(&mut self.call).version = Some(version);
+        if !self.call.route.resumable {
+            return;
+        }
         let Some(stream) = self.stream_id() else {
             return;
         };
--- a/crates/verbenahinge/tests/stream_versions.rs
+++ b/crates/verbenahinge/tests/stream_versions.rs
@@ -16,6 +16,9 @@
 /// Time within which the version of a service is kept in the store.
 const SETTLE_TIME: Duration = Duration::from_secs(10);
 
+/// Time within which the store holds where a stream began.
+const WRITE_TIME: Duration = Duration::from_millis(500);
+
 /// Fleet whose streams begin at the server `first`.
 struct MixedFleet {
     fleet: GatewayFleet,
@@ -209,3 +212,35 @@
     assert_eq!(response.status, 200, "{:?}", response.body);
     assert_eq!(response.event_ids(), [4, 5]);
 }
+
+/// Kills all VMs at once, as a loss of power does, and waits until they serve again.
+async fn lose_all_vms(fleet: &mut GatewayFleet) {
+    for vm in 0..fleet.vm_count() {
+        fleet.vm_process(vm).kill();
+    }
+    for vm in 0..fleet.vm_count() {
+        fleet.vm_process(vm).restart();
+    }
+    for vm in 0..fleet.vm_count() {
+        fleet.wait_until_ready(vm).await;
+    }
+}
+
+/// Guards against streams that cannot continue because all VMs lost power in the midst of a release,
+/// though servers of their version are there; also after a second loss.
+#[actix_rt::test]
+async fn release_outlives_vms() {
+    let mut mixed = MixedFleet::start(3, ["v1", "v2", "v2"]).await;
+    mixed.break_first(ServerFault::BreakOff).await;
+    let broken = mixed.fleet.call(0, &stream_request("s1")).await;
+    assert_eq!(broken.event_servers().first(), Some(&&*mixed.first_name()));
+    actix_rt::time::sleep(WRITE_TIME).await;
+    mixed.break_first(ServerFault::None).await;
+    for (vm, id) in [(1, "s2"), (2, "s3")] {
+        lose_all_vms(&mut mixed.fleet).await;
+        let response = mixed.fleet.call(vm, &resumption(id, "s1", &broken)).await;
+        assert_eq!(response.status, 200, "{id}: {:?}", response.body);
+        let first = mixed.first_name();
+        assert!(response.event_servers().iter().all(|&name| name == first));
+    }
+}
