fix(gateway): a row of streams that cannot be read is replaced in its turn

Cause, found when the diff was read: a row that cannot be decoded was left out of the ring, so the keeper would have tried to create it again each 75 ms and got 412 each time, and no later stream would have been kept.

Change: such a row counts as an empty one of its place. Test: unreadable_row_is_replaced.

--- a/crates/verbenahinge-core/src/gateway/placement.rs
+++ b/crates/verbenahinge-core/src/gateway/placement.rs
@@ -11,16 +11,18 @@
 //! or become slow. A request goes to the least loaded server, with failing servers penalized.
 
 mod candidate;
+mod engine_cost;
 mod obstacle;
 mod placement_error;
 mod placement_survey;
 mod prefill;
 mod server_choice;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 pub(super) use self::candidate::Candidate;
+use self::engine_cost::engine_cost;
 pub use self::obstacle::Obstacle;
 pub use self::placement_error::PlacementError;
 pub use self::placement_survey::PlacementSurvey;
@@ -34,33 +36,9 @@
 /// Duration of one engine step while the engine prefills long prompts.
 const LOADED_STEP_TIME: Duration = Duration::from_millis(55);
 
-/// Prefill work, in tokens, that an engine completes between two events of a concurrent stream
-/// without delaying the second one.
-const TOLERATED_PREFILL_TOKENS: f64 = 6000.0;
-
-/// Cost of making one stream late, in requests.
-const LATE_STREAM_COST: f64 = 0.8;
-
-/// Cost of one second of prefill, which later requests wait for, in requests.
-const PREFILL_SECOND_COST: f64 = 5.0;
-
 /// Cost of using an engine outside the group for the kind of request.
 const GROUP_MISMATCH_COST: f64 = 0.5;
 
-/// Share of an engine's memory that running requests may fill; above it, the engine may preempt
-/// requests.
-const MAX_MEMORY_SHARE: f64 = 0.85;
-
-/// Cost from which an engine counts as full: several short streams would become late.
-const FULL_COST: f64 = 4.0;
-
-/// An engine may hold `slots / URGENT_SLOTS_DIVISOR` requests beyond its slots, so that urgent
-/// requests can queue.
-const URGENT_SLOTS_DIVISOR: u32 = 4;
-
-/// Share of the target up to which waiting adds no cost.
-const FREE_WAIT_SHARE: f64 = 0.6;
-
 /// Share of the target within which the first event of a new request has to be expected.
 const ADMITTED_WAIT_SHARE: f64 = 0.9;
 
@@ -273,45 +251,6 @@
         }
     }
 
-    /// Counts why each of the candidates cannot get a call.
-    pub(super) fn count_obstacles(
-        &self,
-        call: &Call,
-        candidates: &[Candidate],
-    ) -> BTreeMap<Obstacle, u32> {
-        let mut counts = BTreeMap::new();
-        for candidate in candidates {
-            if let Some(obstacle) = self.obstacle(call, candidate, candidates) {
-                *counts.entry(obstacle).or_default() += 1;
-            }
-        }
-        counts
-    }
-
-    fn obstacle(
-        &self,
-        call: &Call,
-        candidate: &Candidate,
-        candidates: &[Candidate],
-    ) -> Option<Obstacle> {
-        if candidate.wait().is_some() {
-            return Some(Obstacle::Paused);
-        }
-        if candidate.backend.is_ejected(self.now) {
-            return Some(Obstacle::Ejected);
-        }
-        if !candidate.has_room {
-            return Some(Obstacle::NoRoom);
-        }
-        let (Some(engine), Some(_)) = (self.engine, &call.prompt) else {
-            return None;
-        };
-        let plan = self.plan_prefill(call, candidate, candidates, engine, false);
-        let interactive = self.is_interactive(call);
-        let (_, obstacle, _) = self.assess_engine(call, candidate, engine, interactive, plan);
-        obstacle
-    }
-
     /// Returns the cost of a call at an engine, what rules the engine out, and the resulting choice.
     fn assess_engine(
         &self,
@@ -403,61 +342,3 @@
     }
     best.map(|(_, id)| id.clone())
 }
-
-/// Returns the cost of a call at an engine, why the engine is full if it is, and the resulting choice.
-fn engine_cost(
-    call: &Call,
-    candidate: &Candidate,
-    engine: EngineLimits,
-    interactive: bool,
-    plan: PrefillPlan,
-) -> (f64, Option<Obstacle>, ServerChoice) {
-    let backend = candidate.backend;
-    let rate = backend.prefill_rate();
-    let PrefillPlan {
-        prefill_cost,
-        copy_ms,
-        copy_from,
-    } = plan;
-    // The copy overlaps with the prefill of the prompts ahead.
-    let ahead_ms = (backend.prefill_ahead(call.priority()) / rate).max(copy_ms);
-    let wait_ms = ahead_ms + prefill_cost / rate;
-    let target_ms = call.route.latency_target.as_secs_f64() * 1000.0;
-    let wait_share = wait_ms / target_ms.max(1.0);
-    let mut cost = ((wait_share - FREE_WAIT_SHARE) / (1.0 - FREE_WAIT_SHARE)).max(0.0);
-    if interactive {
-        let prefill_pressure = backend.prefill_backlog() / TOLERATED_PREFILL_TOKENS;
-        cost += LATE_STREAM_COST * prefill_pressure.min(1.0);
-    } else {
-        let streams = f64::from(backend.interactive());
-        cost +=
-            LATE_STREAM_COST * streams * (prefill_cost / TOLERATED_PREFILL_TOKENS).min(1.0) * 0.5;
-    }
-    cost += backend.error_rate();
-    let running = backend.running();
-    let slots = candidate.entry.slots.max(1);
-    let memory = f64::from(backend.memory_tokens());
-    let capacity = f64::from(u32::try_from(engine.memory_tokens).unwrap_or(u32::MAX));
-    // Among the requests that wait for a slot, engines start the urgent ones first.
-    let no_slot = backend.running_up_to(call.priority()) >= slots
-        || running >= slots.saturating_add(slots / URGENT_SLOTS_DIVISOR);
-    let no_memory = running > 0 && memory > capacity * MAX_MEMORY_SHARE;
-    let full = if no_slot {
-        Some(Obstacle::NoSlot)
-    } else if no_memory {
-        Some(Obstacle::NoMemory)
-    } else {
-        (cost >= FULL_COST).then_some(Obstacle::Busy)
-    };
-    cost += PREFILL_SECOND_COST * (prefill_cost / rate + copy_ms) / 1000.0;
-    // Spreads interactive streams over the engines of their group.
-    cost += 0.2 * f64::from(running) / f64::from(slots);
-    let choice = ServerChoice {
-        server: candidate.entry.id.clone(),
-        prefill_cost,
-        expected_wait: Duration::from_secs_f64(wait_ms / 1000.0),
-        copy_from,
-        interactive,
-    };
-    (cost, full, choice)
-}
--- a/crates/verbenahinge-core/src/gateway/placement/placement_survey.rs
+++ b/crates/verbenahinge-core/src/gateway/placement/placement_survey.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 use std::fmt::{self, Display, Formatter};
 
-use super::Obstacle;
+use super::{Candidate, Obstacle, PlacementContext};
+use crate::gateway::Call;
 
 /// Counts of the servers considered for a request, by what rules them out.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -26,3 +27,44 @@
         Ok(())
     }
 }
+
+impl PlacementContext<'_> {
+    /// Counts why each of the candidates cannot get a call.
+    pub(in crate::gateway) fn count_obstacles(
+        &self,
+        call: &Call,
+        candidates: &[Candidate],
+    ) -> BTreeMap<Obstacle, u32> {
+        let mut counts = BTreeMap::new();
+        for candidate in candidates {
+            if let Some(obstacle) = self.obstacle(call, candidate, candidates) {
+                *counts.entry(obstacle).or_default() += 1;
+            }
+        }
+        counts
+    }
+
+    fn obstacle(
+        &self,
+        call: &Call,
+        candidate: &Candidate,
+        candidates: &[Candidate],
+    ) -> Option<Obstacle> {
+        if candidate.wait().is_some() {
+            return Some(Obstacle::Paused);
+        }
+        if candidate.backend.is_ejected(self.now) {
+            return Some(Obstacle::Ejected);
+        }
+        if !candidate.has_room {
+            return Some(Obstacle::NoRoom);
+        }
+        let (Some(engine), Some(_)) = (self.engine, &call.prompt) else {
+            return None;
+        };
+        let plan = self.plan_prefill(call, candidate, candidates, engine, false);
+        let interactive = self.is_interactive(call);
+        let (_, obstacle, _) = self.assess_engine(call, candidate, engine, interactive, plan);
+        obstacle
+    }
+}
--- a/crates/verbenahinge-core/src/gateway/stream_ledger.rs
+++ b/crates/verbenahinge-core/src/gateway/stream_ledger.rs
@@ -35,6 +35,16 @@
 }
 
 impl StreamRow {
+    /// Creates the row that stands for one that cannot be read, so that it can be replaced in its turn.
+    #[must_use]
+    pub const fn unreadable(slot: u64, row_version: u64) -> Self {
+        Self {
+            number: slot,
+            row_version,
+            origins: Vec::new(),
+        }
+    }
+
     /// Position of the row in its ring.
     #[must_use]
     pub const fn slot(&self) -> u64 {
--- a/crates/verbenahinge-core/tests/stream_ledgers.rs
+++ b/crates/verbenahinge-core/tests/stream_ledgers.rs
@@ -250,3 +250,22 @@
     step(later, &mut ledger, &mut store);
     assert!(store.version_of(1).is_some() && store.version_of(2).is_some());
 }
+
+#[test]
+fn unreadable_row_is_replaced() {
+    let now = Duration::from_secs(1000);
+    let mut store = Store {
+        version: 9,
+        ..Store::default()
+    };
+    store.rows.insert(1, StreamRow::unreadable(1, 7));
+    let mut ledger = StreamLedger::new();
+    let mut later = now;
+    for stream in 1..600 {
+        later += Duration::from_millis(80);
+        ledger.keep(later, &[origin(stream)]);
+        step(later, &mut ledger, &mut store);
+    }
+    assert_eq!(store.version_of(599), Some(version_of_stream(599)));
+    assert_eq!(store.rows[&1].origins.len(), 1);
+}
--- a/crates/verbenahinge/src/gateway/peers/streams.rs
+++ b/crates/verbenahinge/src/gateway/peers/streams.rs
@@ -8,12 +8,12 @@
 use std::time::Duration;
 
 use tokio::sync::oneshot;
+use verbenahinge_core::Timestamp;
 use verbenahinge_core::gateway::{Feed, Route, SoftwareVersion, StreamId, StreamOrigin};
 
 use super::send_to;
 use crate::gateway::peer_message::{MessageKind, PeerMessage, StreamMessage, StreamQueryMessage};
 use crate::gateway::{Gateway, stream_store};
-use verbenahinge_core::Timestamp;
 
 /// Time in which streams are collected before other VMs are told of them.
 const STREAM_PUSH_DELAY: Duration = Duration::from_millis(10);
--- a/crates/verbenahinge/src/gateway/stream_store.rs
+++ b/crates/verbenahinge/src/gateway/stream_store.rs
@@ -37,8 +37,10 @@
 pub(crate) struct StreamStore {
     ledgers: RefCell<[StreamLedger; RINGS]>,
     changed: Notify,
+    /// Era of the store in which this VM has last written or read a row.
     era: Cell<Option<u64>>,
-    reader: Mutex<Option<Timestamp>>,
+    /// Time of the last read for a caller; held during a read, so that others wait for it.
+    read_at: Mutex<Option<Timestamp>>,
 }
 
 impl StreamStore {
@@ -120,7 +122,7 @@
     let value = streams::encode(now, &row).map_err(|error| StoreError::Malformed {
         problem: error.to_string(),
     })?;
-    let key = streams::key(ring as u64, &row);
+    let key = streams::key(ring, &row);
     let written = store
         .replace(STREAM_TABLE, &key, row.row_version, &value)
         .await?;
@@ -140,22 +142,27 @@
     let mut rings: [Vec<StreamRow>; RINGS] = Default::default();
     let mut known = 0;
     for row in table.rows {
-        let (Some(value), Some(ring)) = (row.value, streams::ring(&row.key)) else {
+        let Some(value) = row.value else {
             continue;
         };
-        let rows = usize::try_from(ring)
-            .ok()
-            .and_then(|ring| rings.get_mut(ring));
-        match (streams::decode(now, &row.key, row.version, &value), rows) {
-            (Ok(row), Some(rows)) => {
-                known += row.origins.len();
-                let mut state = gateway.state.borrow_mut();
-                state.merge_stream_origins(now, &row.origins);
-                rows.push(row);
-            }
-            (Ok(_), None) => log::warn!("row {:?} of table {STREAM_TABLE} has no ring", row.key),
-            (Err(error), _) => log::warn!("ignoring a row of table {STREAM_TABLE}: {error}"),
-        }
+        let position = streams::position(&row.key);
+        let ring = position.and_then(|(ring, slot)| Some((rings.get_mut(ring)?, slot)));
+        let Some((rows, slot)) = ring else {
+            log::warn!(
+                "row {:?} of table {STREAM_TABLE} belongs to no ring",
+                row.key
+            );
+            continue;
+        };
+        let decoded = streams::decode(now, &row.key, row.version, &value);
+        let stream_row = decoded.unwrap_or_else(|error| {
+            log::warn!("replacing a row of table {STREAM_TABLE} in its turn: {error}");
+            StreamRow::unreadable(slot, row.version)
+        });
+        known += stream_row.origins.len();
+        let mut state = gateway.state.borrow_mut();
+        state.merge_stream_origins(now, &stream_row.origins);
+        rows.push(stream_row);
     }
     gateway.stream_store.era.set(Some(table.era));
     let mut ledgers = gateway.stream_store.ledgers.borrow_mut();
@@ -169,7 +176,7 @@
 /// Reads the table for a caller that comes back, unless that was done just now.
 pub(super) async fn refresh(gateway: &Gateway) {
     let read = verbenahinge_http::timeout(READ_TIMEOUT, async {
-        let mut read_at = gateway.stream_store.reader.lock().await;
+        let mut read_at = gateway.stream_store.read_at.lock().await;
         let is_recent = read_at.is_some_and(|at| at + MIN_READ_INTERVAL > gateway.now());
         if is_recent {
             return Ok(());
