--- a/crates/verbenahinge-core/src/gateway/placement/placement_survey.rs
+++ b/crates/verbenahinge-core/src/gateway/placement/placement_survey.rs
@@ -15,6 +15,8 @@
     pub considered: usize,
     /// Servers considered that cannot get the request, by the reason.
     pub obstacles: BTreeMap<Obstacle, u32>,
+    /// Servers considered that cannot get the request although all prompts that wait there are less urgent.
+    pub outranked: u32,
 }
 
 impl Display for PlacementSurvey {
@@ -24,24 +26,39 @@
             let name: &str = obstacle.into();
             write!(f, " {name}={count}")?;
         }
+        if self.outranked > 0 {
+            write!(f, " outranked={}", self.outranked)?;
+        }
         Ok(())
     }
 }
 
 impl PlacementContext<'_> {
-    /// Counts why each of the candidates cannot get a call.
-    pub(in crate::gateway) fn count_obstacles(
+    /// Counts why each of the candidates cannot get a call; `servers` is the number of servers of the
+    /// service.
+    pub(in crate::gateway) fn survey(
         &self,
         call: &Call,
         candidates: &[Candidate],
-    ) -> BTreeMap<Obstacle, u32> {
-        let mut counts = BTreeMap::new();
+        servers: usize,
+    ) -> PlacementSurvey {
+        let mut survey = PlacementSurvey {
+            servers,
+            considered: candidates.len(),
+            ..PlacementSurvey::default()
+        };
         for candidate in candidates {
-            if let Some(obstacle) = self.obstacle(call, candidate, candidates) {
-                *counts.entry(obstacle).or_default() += 1;
+            let Some(obstacle) = self.obstacle(call, candidate, candidates) else {
+                continue;
+            };
+            *survey.obstacles.entry(obstacle).or_default() += 1;
+            let backend = candidate.backend;
+            let has_backlog = backend.prefill_backlog() > 0.0;
+            if has_backlog && backend.prefill_ahead(call.priority()) <= 0.0 {
+                survey.outranked += 1;
             }
         }
-        counts
+        survey
     }
 
     fn obstacle(
--- a/crates/verbenahinge-core/src/gateway/state.rs
+++ b/crates/verbenahinge-core/src/gateway/state.rs
@@ -276,15 +276,10 @@
                 candidate.is_preferred = preferred.contains(&candidate.entry.id);
             }
         }
-        let context = self.placement_context(now, call);
-        PlacementSurvey {
-            servers: self
-                .registry
-                .order(&call.service)
-                .map_or(0, ServerOrder::len),
-            considered: candidates.len(),
-            obstacles: context.count_obstacles(call, &candidates),
-        }
+        let servers = self.registry.order(&call.service);
+        let servers = servers.map_or(0, ServerOrder::len);
+        self.placement_context(now, call)
+            .survey(call, &candidates, servers)
     }
 
     /// Ranks engines for a call by its prompt alone, without their load, best first.
