fix(core): a prompt leaves room for more urgent ones only where it waits behind others of its urgency

Cause: a prompt yields where it and the backlog of an engine would take three quarters of the target of a more urgent prompt. The backlog was counted for all priorities, although the engine starts the less urgent part of it after the prompt. So the class in the middle paid for what the least urgent one had queued, and whoever came first to an engine without a backlog got it. The same holds for cold: an engine that is busy with less urgent prompts only counted as busy. Class of fault: a reservation for the urgent that is charged to everyone below alike.

Ruled out: the search among 8 engines alone (9 and 17 VMs break too, and nothing else was changed); memory (no refusal names it).

tier_promise checks the promise in virtual time over each window of five seconds, at 9 to 300 VMs, 16 to 64 slots, mixed sizes.

--- a/crates/verbenahinge-core/src/gateway/placement.rs
+++ b/crates/verbenahinge-core/src/gateway/placement.rs
@@ -260,13 +260,14 @@
         interactive: bool,
         plan: PrefillPlan,
     ) -> (f64, Option<Obstacle>, ServerChoice) {
+        let ahead = candidate.backend.prefill_ahead(call.priority());
         let is_cold = !candidate.is_preferred
-            && candidate.backend.prefill_backlog() > 0.0
+            && ahead > 0.0
             && self.reads_shared_parts(call, candidate, &plan);
         let (cost, full, choice) = engine_cost(call, candidate, engine, interactive, plan);
         let obstacle = if choice.expected_wait > self.max_admitted_wait(call) {
             Some(Obstacle::Late)
-        } else if self.delays_urgent_prompts(candidate.backend, &choice) {
+        } else if self.delays_urgent_prompts(ahead, candidate.backend, &choice) {
             Some(Obstacle::Yields)
         } else if is_cold {
             Some(Obstacle::Cold)
@@ -277,15 +278,15 @@
     }
 
     /// Returns whether prefilling a prompt would make more urgent prompts that arrive later miss
-    /// their target.
+    /// their target; `ahead` are the tokens that the engine prefills before it.
     ///
     /// Engines admit prompts by priority but do not preempt a prefill that has begun. An engine
-    /// without a backlog accepts a prompt of any length.
-    fn delays_urgent_prompts(&self, backend: &Backend, choice: &ServerChoice) -> bool {
+    /// without a backlog accepts a prompt of any length. A backlog that is less urgent than the prompt
+    /// waits behind it, as it does behind those that arrive later.
+    fn delays_urgent_prompts(&self, ahead: f64, backend: &Backend, choice: &ServerChoice) -> bool {
         let Some(target) = self.urgent_target else {
             return false;
         };
-        let ahead = backend.prefill_backlog();
         let queued_ms = (ahead + choice.prefill_cost) / backend.prefill_rate();
         let allowed_ms = target.as_secs_f64() * 1000.0 * URGENT_QUEUE_SHARE;
         ahead > 0.0 && queued_ms > allowed_ms
--- a/crates/verbenahinge-core/tests/engine_search.rs
+++ b/crates/verbenahinge-core/tests/engine_search.rs
@@ -8,6 +8,7 @@
 #[path = "support/engines.rs"]
 mod engines;
 
+#[allow(dead_code, unused_imports, reason = "a calm fleet has no troubles")]
 #[path = "support/engine_fleet.rs"]
 mod engine_fleet;
 
@@ -45,6 +46,7 @@
             subjects: subjects(528.0),
             shared_tokens: 172,
             own_tokens: 543,
+            are_sizes_mixed: false,
             events: 56,
         },
         LoadClass {
@@ -53,6 +55,7 @@
             subjects: subjects(876.0),
             shared_tokens: 568,
             own_tokens: 1800,
+            are_sizes_mixed: false,
             events: 5,
         },
         LoadClass {
@@ -61,6 +64,7 @@
             subjects: subjects(1345.0),
             shared_tokens: 6300,
             own_tokens: 2890,
+            are_sizes_mixed: false,
             events: 10,
         },
     ]
--- a/crates/verbenahinge-core/tests/support/engine_fleet.rs
+++ b/crates/verbenahinge-core/tests/support/engine_fleet.rs
@@ -3,6 +3,10 @@
 
 #[path = "engine_fleet/engine.rs"]
 mod engine;
+#[path = "engine_fleet/tier_record.rs"]
+mod tier_record;
+#[path = "engine_fleet/trouble.rs"]
+mod trouble;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -13,9 +17,12 @@
     PlacementError, Route, Routing, ServerChoice, ServerEntry, Service,
 };
 use verbenahinge_core::hash::{hash64, mix64};
-use verbenahinge_core::{ServerName, Timestamp};
+use verbenahinge_core::{FailureKind, ServerName, Timestamp};
 
 use self::engine::{Engine, Job};
+use self::tier_record::{Fate, TierRecord};
+pub(crate) use self::trouble::Trouble;
+use self::trouble::TroubleStep;
 use super::engines::prompt_call;
 
 /// Time of a query of load and its reply.
@@ -41,6 +48,8 @@
     pub(crate) subjects: u64,
     pub(crate) shared_tokens: u32,
     pub(crate) own_tokens: u32,
+    /// Whether the own tokens vary between prompts; `own_tokens` is their mean then.
+    pub(crate) are_sizes_mixed: bool,
     pub(crate) events: u32,
 }
 
@@ -74,9 +83,10 @@
     Arrival(usize),
     Queried(Box<(usize, usize, Call, EngineSearch)>),
     Sent(usize, Box<Job>),
-    PrefillEnd(usize),
-    NextToken(usize, Box<Job>),
+    PrefillEnd(usize, u64),
+    NextToken(usize, u64, Box<Job>),
     Digest(usize, u64),
+    Trouble(TroubleStep),
 }
 
 /// A fleet, its engines and the requests that callers send.
@@ -84,6 +94,10 @@
     shape: FleetShape,
     classes: Vec<LoadClass>,
     pub(crate) outcomes: Vec<ClassOutcome>,
+    pub(crate) tiers: TierRecord,
+    are_vms_down: bool,
+    /// Every so many-th VM has lost the path to most engines.
+    cut_every_vm: Option<usize>,
     vms: Vec<GatewayState>,
     engines: Vec<Engine>,
     engine_names: Vec<ServerName>,
@@ -103,6 +117,9 @@
             .collect();
         let mut fleet = Self {
             outcomes: vec![ClassOutcome::default(); classes.len()],
+            tiers: TierRecord::default(),
+            are_vms_down: false,
+            cut_every_vm: None,
             vms: (0..shape.vms).map(|vm| new_vm(shape, vm, &names)).collect(),
             engines: (0..shape.engines)
                 .map(|_| Engine::new(shape.slots as usize))
@@ -169,6 +186,16 @@
         Duration::from_secs_f64(-uniform.ln() / self.classes[class].per_s)
     }
 
+    /// Draws a size between a quarter of the mean and four times the mean, half of them under it.
+    fn mixed_size(&mut self, mean: u32) -> u32 {
+        match self.draw() % 16 {
+            0..8 => mean / 4,
+            8..14 => mean,
+            14 => mean * 2,
+            _ => mean * 4,
+        }
+    }
+
     fn is_large(&self) -> bool {
         self.shape.vms >= LARGE_FLEET_VMS
     }
@@ -178,34 +205,60 @@
             Event::Arrival(class) => self.arrive(class),
             Event::Queried(query) => {
                 let (class, vm, call, search) = *query;
+                if self.are_vms_down {
+                    return;
+                }
                 self.read_load(vm, &call, &search);
                 let choice = search.choose(self.now, &self.vms[vm], &call);
                 self.conclude(class, vm, call, search, choice);
             }
             Event::Sent(engine, job) => {
-                self.engines[engine].add(*job);
-                self.begin_prefill(engine);
+                if !self.engines[engine].is_lost {
+                    self.engines[engine].add(*job);
+                    self.begin_prefill(engine);
+                }
+            }
+            Event::PrefillEnd(engine, epoch) => {
+                if self.engines[engine].epoch == epoch {
+                    self.end_prefill(engine);
+                }
+            }
+            Event::NextToken(engine, epoch, job) => {
+                if self.engines[engine].epoch == epoch {
+                    self.stream_event(engine, *job);
+                }
             }
-            Event::PrefillEnd(engine) => self.end_prefill(engine),
-            Event::NextToken(engine, job) => self.stream_event(engine, *job),
             Event::Digest(vm, round) => self.send_digest(vm, round),
+            Event::Trouble(step) => self.handle_trouble(step),
         }
     }
 
     fn arrive(&mut self, class: usize) {
         let gap = self.gap(class);
         self.schedule(gap, Event::Arrival(class));
+        if self.are_vms_down {
+            return;
+        }
         let vm = self.below(self.shape.vms);
         let kind = &self.classes[class];
         let route = Arc::clone(&kind.route);
-        let (shared_tokens, own_tokens) = (kind.shared_tokens, kind.own_tokens);
+        let (shared_tokens, mut own_tokens) = (kind.shared_tokens, kind.own_tokens);
+        if kind.are_sizes_mixed {
+            own_tokens = self.mixed_size(own_tokens);
+        }
         let subject = mix64(class as u64, self.draw() % self.classes[class].subjects);
         self.calls += 1;
         let own = mix64(self.seed, self.calls);
         let parts = [(subject, shared_tokens), (own, own_tokens)];
         let call = prompt_call(self.calls, &route, self.now, &parts);
         self.outcomes[class].arrived += 1;
+        let tokens = shared_tokens + own_tokens;
+        self.tiers.note_arrival(self.now, call.priority(), tokens);
         self.vms[vm].note_arrival(self.now, &call);
+        self.find_engine(class, vm, call);
+    }
+
+    fn find_engine(&mut self, class: usize, vm: usize, call: Call) {
         if self.is_large() {
             self.search(class, vm, call, EngineSearch::new(Vec::new()));
         } else {
@@ -273,11 +326,20 @@
     ) {
         let Ok(choice) = choice else {
             self.outcomes[class].refused += 1;
+            self.tiers.note_fate(call.id, Fate::Refused);
             return;
         };
+        let engine = self.engine_index(&choice.server);
+        if self.is_cut_off(vm, engine) {
+            let failure = FailureKind::ConnectFailed;
+            self.vms[vm].note_failure(self.now, &choice.server, failure);
+            // The request is handed over to a VM that is not cut off.
+            let other = (vm + 1) % self.shape.vms;
+            self.find_engine(class, other, call);
+            return;
+        }
         self.vms[vm].note_sent(self.now, &call, &choice);
         self.tell_aggregator(vm, &choice.server);
-        let engine = self.engine_index(&choice.server);
         let job = Job {
             call,
             class,
@@ -306,10 +368,15 @@
     }
 
     fn begin_prefill(&mut self, engine: usize) {
-        if let Some(ends_at) = self.engines[engine].begin_prefill(self.now) {
-            let delay = ends_at.saturating_sub(self.now);
-            self.schedule(delay, Event::PrefillEnd(engine));
+        let Some(ends_at) = self.engines[engine].begin_prefill(self.now) else {
+            return;
+        };
+        if let Some(job) = self.engines[engine].reading() {
+            self.tiers.note_fate(job.call.id, Fate::Begun(self.now));
         }
+        let delay = ends_at.saturating_sub(self.now);
+        let epoch = self.engines[engine].epoch;
+        self.schedule(delay, Event::PrefillEnd(engine, epoch));
     }
 
     fn end_prefill(&mut self, engine: usize) {
@@ -334,10 +401,15 @@
         }
         job.events_left -= 1;
         let time = self.engines[engine].event_time(self.now, self.shape.tokens_per_event);
-        self.schedule(time, Event::NextToken(engine, Box::new(job)));
+        let epoch = self.engines[engine].epoch;
+        self.schedule(time, Event::NextToken(engine, epoch, Box::new(job)));
     }
 
     fn send_digest(&mut self, vm: usize, round: u64) {
+        if self.are_vms_down {
+            self.schedule(DIGEST_INTERVAL, Event::Digest(vm, round + 1));
+            return;
+        }
         let mut digest = self.vms[vm].full_digest(self.now);
         digest.servers = self.told[vm].take(&digest.servers);
         if self.is_large() {
@@ -387,10 +459,15 @@
     routing.services.insert("engines".into(), service);
     let mut state = GatewayState::new(vm_id(vm), "a".into(), Bounds::default());
     state.adopt_routing(routing);
-    for (port, name) in (9000..).zip(engines) {
-        let entry = ServerEntry::new(name, "engines", ([127, 0, 0, 1], port).into());
-        state.upsert_server(entry.availability_zone("a").slots(shape.slots));
+    for (index, name) in engines.iter().enumerate() {
+        state.upsert_server(engine_entry(shape, index, name));
     }
     state.mark_registry_complete();
     state
 }
+
+fn engine_entry(shape: FleetShape, index: usize, name: &str) -> ServerEntry {
+    let port = 9000 + u16::try_from(index).expect("few engines");
+    let entry = ServerEntry::new(name, "engines", ([127, 0, 0, 1], port).into());
+    entry.availability_zone("a").slots(shape.slots)
+}
--- a/crates/verbenahinge-core/tests/support/engine_fleet/engine.rs
+++ b/crates/verbenahinge-core/tests/support/engine_fleet/engine.rs
@@ -38,6 +38,9 @@
     reading: Option<(Job, Timestamp)>,
     streams: usize,
     cached: BTreeSet<PartId>,
+    pub(crate) is_lost: bool,
+    /// Number of times that the requests of the engine were lost; what belongs to an earlier one is void.
+    pub(crate) epoch: u64,
     pub(crate) read_tokens: u64,
 }
 
@@ -57,6 +60,27 @@
         self.admit();
     }
 
+    /// Drops all requests: their connections were closed.
+    pub(crate) fn drop_jobs(&mut self) {
+        self.epoch += 1;
+        self.waiting.clear();
+        self.unread.clear();
+        self.reading = None;
+        self.streams = 0;
+    }
+
+    /// Loses the requests and all that was read.
+    pub(crate) fn crash(&mut self) {
+        self.drop_jobs();
+        self.cached.clear();
+        self.is_lost = true;
+    }
+
+    /// Request that is being read.
+    pub(crate) fn reading(&self) -> Option<&Job> {
+        self.reading.as_ref().map(|(job, _)| job)
+    }
+
     /// Ends a stream.
     pub(crate) fn end_stream(&mut self) {
         self.streams -= 1;
