--- a/crates/verbenahinge/tests/gateway_registry.rs
+++ b/crates/verbenahinge/tests/gateway_registry.rs
@@ -70,6 +70,52 @@
     assert_eq!(first + second, 8);
 }
 
+/// Guards against VMs that end, or stop following the registry, because of one odd entry.
+#[actix_rt::test]
+async fn odd_entry_stops_registry() {
+    /// Deeper than a parser that calls itself for each level can bear.
+    const NESTING: usize = 200_000;
+    let fleet = start(1).await;
+    let entry = |field: &str, value: &str| {
+        format!(
+            r#"{{"service":"service","address":"127.0.0.1:9","zone":"a","slots":8,"state":"draining","{field}":{value}}}"#
+        )
+    };
+    let nested = format!("{}{}", "[".repeat(NESTING), "]".repeat(NESTING));
+    let odd = [
+        ("nested", entry("extra", &nested)),
+        (
+            "nested-zone",
+            entry("zone", &nested).replacen(r#""zone":"a","#, "", 1),
+        ),
+        (
+            "large-slots",
+            entry("extra", "0").replace(":8", ":4294967295"),
+        ),
+        ("larger-slots", entry("extra", "0").replace(":8", ":1e400")),
+        ("large-start", entry("born", "99999999999999999999999999")),
+        ("large-warm-up", entry("cold_remaining_ms", "1e308")),
+        ("warm-up", entry("cold_remaining_ms", "1e21")),
+        ("port", entry("extra", "0").replace(":9", ":70000")),
+        ("no-port", entry("extra", "0").replace(":9", ":0")),
+    ];
+    for (id, value) in odd {
+        fleet
+            .write_row(SERVER_TABLE, id, Some(value.as_bytes()))
+            .await;
+        let later = format!("after-{id}");
+        let mut entry = fleet.server_entry(0);
+        entry.id = later.as_str().into();
+        entry.state = ServerState::Draining;
+        fleet.register(&entry).await;
+        fleet
+            .wait_for_log(0, &format!("server={later} change=added"))
+            .await;
+        let request = GatewayRequest::new(id, "/once/x");
+        assert_eq!(fleet.call(0, &request).await.status, 200, "{id}");
+    }
+}
+
 #[actix_rt::test]
 async fn reused_address_rejected() {
     let fleet = start(1).await;
--- a/crates/verbenahinge/tests/gateway_streams.rs
+++ b/crates/verbenahinge/tests/gateway_streams.rs
@@ -46,6 +46,50 @@
     }
 }
 
+/// Guards against a stream that contains the error of the server which should have continued it, or that ends
+/// as if it were complete.
+#[actix_rt::test]
+async fn error_follows_events() {
+    for fault in [
+        ServerFault::Fail,
+        ServerFault::Reject,
+        ServerFault::Garbage,
+        ServerFault::ForeignAnswer,
+        ServerFault::CutHead,
+        ServerFault::LoseAnswer,
+        ServerFault::Unframed,
+    ] {
+        for breaks_at_events in [false, true] {
+            let fleet = start().await;
+            let break_off = if breaks_at_events {
+                ServerFault::BreakOffBetweenEvents
+            } else {
+                ServerFault::BreakOff
+            };
+            // The stream goes to the server that is set last, and its other one answers with the fault.
+            let mut resumed = 0;
+            for (first, second) in [(0, 1), (1, 0)] {
+                let id = format!("{fault}-{breaks_at_events}-{first}");
+                fleet.set_server_fault(first, break_off, 0).await;
+                fleet.set_server_fault(second, fault, 0).await;
+                let response = fleet.call(0, &stream_request(&id, "/stream/x")).await;
+                let runs = fleet.runs(first).await;
+                if !runs.iter().any(|run| run.request_id == id) || response.event_ids().is_empty() {
+                    continue;
+                }
+                resumed += 1;
+                assert!(!response.is_complete, "{id}");
+                assert_eq!(response.event_ids(), [1, 2], "{id}");
+                for line in response.body.lines().filter(|line| !line.is_empty()) {
+                    let is_event = line.starts_with("id: ") || line.starts_with("data: event ");
+                    assert!(is_event, "{id}: {line:?}");
+                }
+            }
+            assert!(resumed > 0, "{fault}");
+        }
+    }
+}
+
 #[actix_rt::test]
 async fn unresumable_streams_abort() {
     let fleet = start().await;
