fix(gateway): a rejection that names no request is believed on a new connection only

Report of another operator: a faulty server wrote an earlier rejection once more on a kept connection, and callers were told that requests had not run which had, or these ran at a second server.

It could happen here where the rejection names no request: the check of the request ID accepted any rejection without one. repeated_rejection_is_believed failed before: a request of a route that allows one run ran twice. Rejections that name another request were rejected before.

On a kept connection, such a rejection now counts as a malformed response: the request may have run.

--- a/crates/verbenahinge-emulator/src/scripted_server.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server.rs
@@ -106,6 +106,13 @@
     }
 }
 
+/// What a connection has carried.
+#[derive(Default)]
+struct ConnectionHistory {
+    last_fault: ServerFault,
+    last_rejection: Vec<u8>,
+}
+
 /// Number of bytes of a head that is cut off, in its second line.
 const CUT_HEAD_BYTES: usize = 24;
 
@@ -133,7 +140,7 @@
         stream.set_nodelay(true)?;
         let connection = self.connections.get() + 1;
         self.connections.set(connection);
-        let mut last_fault = ServerFault::None;
+        let mut history = ConnectionHistory::default();
         let mut buffer = Vec::new();
         while let Some(request) = request::read_request(&mut stream, &mut buffer).await? {
             let keep_open = match (request.method.as_str(), request.target.as_str()) {
@@ -147,7 +154,7 @@
                     return Ok(());
                 }
                 _ => {
-                    self.handle_request(&mut stream, &request, connection, &mut last_fault)
+                    self.handle_request(&mut stream, &request, connection, &mut history)
                         .await?
                 }
             };
@@ -202,7 +209,7 @@
         stream: &mut TcpStream,
         request: &ParsedRequest,
         connection: u64,
-        last_fault: &mut ServerFault,
+        history: &mut ConnectionHistory,
     ) -> io::Result<bool> {
         if request.expected_server != self.options.id {
             let response = self.responder(request).misdirected();
@@ -224,17 +231,20 @@
         if fault == ServerFault::Reject {
             let delay = Duration::from_millis(self.faults.borrow().reject_delay_ms);
             actix_rt::time::sleep(delay).await;
-            let response = self.responder(request).not_executed();
-            stream.write_all(&response).await?;
+            history.last_rejection = self.responder(request).not_executed();
+            stream.write_all(&history.last_rejection).await?;
             return Ok(true);
         }
-        if !fault.is_sound() || last_fault.is_sound() {
-            *last_fault = fault;
+        if fault == ServerFault::RepeatRejection {
+            stream.write_all(&history.last_rejection).await?;
+        }
+        if !fault.is_sound() || history.last_fault.is_sound() {
+            history.last_fault = fault;
         }
         let record_index = self.executed_requests.borrow().len();
         let executed = ExecutedRequest {
             arrived_ms,
-            fault: *last_fault,
+            fault: history.last_fault,
             connection,
             ..request.to_executed_request()
         };
--- a/crates/verbenahinge-emulator/src/scripted_server/response.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/response.rs
@@ -27,9 +27,16 @@
 impl Responder<'_> {
     fn head(self, status: &str, headers: &str) -> String {
         let id = http_headers::REQUEST_ID;
+        self.anonymous_head(
+            status,
+            &format!("{id}: {}\r\n{headers}", self.request.request_id),
+        )
+    }
+
+    /// Head of a response that names no request.
+    fn anonymous_head(self, status: &str, headers: &str) -> String {
         format!(
-            "HTTP/1.1 {status}\r\n{id}: {}\r\n{}{}{headers}\r\n",
-            self.request.request_id,
+            "HTTP/1.1 {status}\r\n{}{}{headers}\r\n",
             self.leaving_header(),
             self.brittle_header(),
         )
@@ -134,7 +141,13 @@
             http_headers::NOT_RUN,
             self.retry_after_header(),
         );
-        self.head("503 Service Unavailable", &headers).into_bytes()
+        let status = "503 Service Unavailable";
+        let head = if self.faults.are_rejections_anonymous {
+            self.anonymous_head(status, &headers)
+        } else {
+            self.head(status, &headers)
+        };
+        head.into_bytes()
     }
 
     /// Response to a request that is addressed to another server.
--- a/crates/verbenahinge-emulator/src/scripted_server/server_fault.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/server_fault.rs
@@ -19,6 +19,8 @@
     Silence,
     /// Rejects the request and states that it was not executed.
     Reject,
+    /// Executes the request, but sends the last rejection of the connection once more before the response.
+    RepeatRejection,
     /// Executes the request and responds with status 500.
     Fail,
     /// Sends the response and then a second one.
--- a/crates/verbenahinge-emulator/src/scripted_server/server_faults.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/server_faults.rs
@@ -28,6 +28,8 @@
     pub retry_after_s: f64,
     /// Time before each rejection, in milliseconds.
     pub reject_delay_ms: u64,
+    /// Whether rejections name no request.
+    pub are_rejections_anonymous: bool,
     /// How a complete response, or one that is cut off, tells its end.
     pub framing: Framing,
     /// Requests that run at a time; further ones are rejected. 0 means any number.
--- a/crates/verbenahinge/src/gateway/attempt.rs
+++ b/crates/verbenahinge/src/gateway/attempt.rs
@@ -197,7 +197,7 @@
             let (parts, body) = response.into_parts();
             let head = http_headers::decode_server_response(parts.status.as_u16(), &parts.headers);
             self.record_head(&entry, sent_at, &head);
-            check_request_id(request, &head)?;
+            check_request_id(request, &head, is_new)?;
             return Ok(OpenResponse {
                 status: parts.status,
                 headers: parts.headers,
@@ -303,10 +303,17 @@
 }
 
 /// Rejects a response that does not belong to the request that was sent.
-fn check_request_id(request: &CallerRequest, head: &ServerHeaders) -> Result<(), AttemptError> {
+///
+/// A rejection that names no request is believed on a new connection only: on one that carried other requests,
+/// a faulty server may have sent an earlier rejection once more.
+fn check_request_id(
+    request: &CallerRequest,
+    head: &ServerHeaders,
+    is_new_connection: bool,
+) -> Result<(), AttemptError> {
     let matches_request = match (&request.id, &head.request_id) {
         (Some(sent), Some(echoed)) => sent == echoed,
-        (Some(_), None) => head.not_run,
+        (Some(_), None) => head.not_run && is_new_connection,
         (None, _) => true,
     };
     if matches_request {
