fix(gateway): a VM whose new connections are reset hands requests over before they are written

Cause: the network accepts a connection and resets it at once; the request is written in between, so it may have run and cannot be handed over. All requests before had used one kept connection, so that the VM had learned nothing. Load was ruled out before. Behind it, a second fault showed: servers that were ejected during the cut stayed so after it, and one of 12 requests found the last server full.

A request without a connection waits for the first probes, and ejections for failed connections end with the cut. Core tests: connections_need_proof, servers_ejected_after_cut.

--- a/crates/verbenahinge-core/src/gateway/backend.rs
+++ b/crates/verbenahinge-core/src/gateway/backend.rs
@@ -235,6 +235,11 @@
         self.is_ejected(now) && self.health.is_unreachable()
     }
 
+    /// Ends an ejection because of connections that failed while this VM was cut off.
+    pub fn end_unreachable(&mut self) {
+        self.health.end_unreachable();
+    }
+
     /// Time until the server may get a request from this VM again; `None` if it may now.
     #[must_use]
     pub fn limit_wait(&self) -> Option<Duration> {
--- a/crates/verbenahinge-core/src/gateway/backend/health.rs
+++ b/crates/verbenahinge-core/src/gateway/backend/health.rs
@@ -73,6 +73,15 @@
         true
     }
 
+    /// Ends an ejection because of connections that failed, as the path to the server was at fault.
+    pub(super) const fn end_unreachable(&mut self) {
+        if self.is_unreachable {
+            self.ejected_until = None;
+            self.ejections = 0;
+            self.is_unreachable = false;
+        }
+    }
+
     /// Time for which the server is still ejected and gets no requests; `None` if it is not.
     pub(super) fn ejection_left(&self, now: Timestamp) -> Option<Duration> {
         let left = self.ejected_until?.checked_sub(now)?;
--- a/crates/verbenahinge-core/src/gateway/server_reach.rs
+++ b/crates/verbenahinge-core/src/gateway/server_reach.rs
@@ -6,13 +6,18 @@
 //! See `docs/design/server-reach.md`.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use super::ServiceName;
-use crate::ServerName;
+use crate::{ServerName, Timestamp};
 
 /// Servers that accept no connection, one after the other, from which the VM may be cut off.
 const MIN_FAILED_SERVERS: usize = 2;
 
+/// Time after an answer on a new connection for which other new connections count as sound: networks that cut
+/// a VM off may accept a connection and reset it at once.
+const PROOF_TTL: Duration = Duration::from_secs(2);
+
 /// What is known of the connections to the servers of a service.
 #[derive(Clone, Debug, Default)]
 struct ServiceReach {
@@ -26,6 +31,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct ServerReach {
     services: BTreeMap<ServiceName, ServiceReach>,
+    answered_at: BTreeMap<ServiceName, Timestamp>,
 }
 
 impl ServerReach {
@@ -45,7 +51,27 @@
         begins
     }
 
-    /// Records that a server has answered on a new connection; returns whether the VM was cut off.
+    /// Records that a server has answered a request on a new connection.
+    pub fn note_answered(&mut self, now: Timestamp, service: &ServiceName) {
+        self.answered_at.insert(service.clone(), now);
+    }
+
+    /// Whether a new connection to a server of a service can be used at once, since another one was answered
+    /// lately.
+    #[must_use]
+    pub fn is_proven(&self, now: Timestamp, service: &str) -> bool {
+        let answered_at = self.answered_at.get(service);
+        answered_at.is_some_and(|&at| at + PROOF_TTL > now)
+    }
+
+    /// Whether servers of a service are being probed, and no probe round has ended yet.
+    #[must_use]
+    pub fn is_in_doubt(&self, service: &str) -> bool {
+        let reach = self.services.get(service);
+        reach.is_some_and(|reach| reach.is_probed && !reach.is_cut_off && !reach.failed.is_empty())
+    }
+
+    /// Records that a connection to a server was kept; returns whether the VM was cut off.
     pub fn note_connected(&mut self, service: &str) -> bool {
         let Some(reach) = self.services.get_mut(service) else {
             return false;
--- a/crates/verbenahinge-core/src/gateway/state/servers.rs
+++ b/crates/verbenahinge-core/src/gateway/state/servers.rs
@@ -87,6 +87,16 @@
         })
     }
 
+    /// Records that this VM is no longer cut off from a service: connections that failed meanwhile tell nothing
+    /// of its servers.
+    pub fn end_cut(&mut self, service: &str) {
+        for entry in self.registry.ready(service) {
+            if let Some(backend) = self.backends.get_mut(&entry.id) {
+                backend.end_unreachable();
+            }
+        }
+    }
+
     /// Marks the registry as complete: all registered backend servers are known.
     pub const fn mark_registry_complete(&mut self) {
         self.is_registry_complete = true;
--- a/crates/verbenahinge-core/tests/server_reach.rs
+++ b/crates/verbenahinge-core/tests/server_reach.rs
@@ -3,6 +3,7 @@
 #[path = "support/services.rs"]
 mod services;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use verbenahinge_core::FailureKind;
@@ -36,6 +37,47 @@
     assert!(!reach.end_probes(&service));
 }
 
+/// Guards against a VM that was cut off and goes on without the servers at which connections failed meanwhile.
+#[test]
+fn servers_ejected_after_cut() {
+    let mut state = services::plain_state(1, SERVERS);
+    for index in 0..SERVERS {
+        let server = services::server_entry(index).id;
+        assert!(state.note_failure(NOW, &server, FailureKind::ConnectFailed));
+    }
+    let crashed = services::server_entry(0).id;
+    state.note_failure(NOW, &crashed, FailureKind::ConnectionLost);
+    state.note_failure(NOW, &crashed, FailureKind::ConnectionLost);
+    state.end_cut("service");
+    let mut chosen = BTreeSet::new();
+    for id in 0..50 {
+        let call = services::plain_call(id, NOW, 0);
+        let choice = state.choose_server(NOW, &call, &[]).expect("a server");
+        state.note_sent(NOW, &call, &choice);
+        chosen.insert(choice.server);
+    }
+    assert_eq!(chosen.len(), SERVERS - 1);
+    assert!(!chosen.contains(&crashed));
+}
+
+/// Guards against requests that are written to a connection which is reset at once, and may have run.
+#[test]
+fn connections_need_proof() {
+    let service: ServiceName = "service".into();
+    let mut reach = ServerReach::default();
+    assert!(!reach.is_proven(NOW, &service));
+    reach.note_answered(NOW, &service);
+    assert!(reach.is_proven(NOW + Duration::from_secs(1), &service));
+    assert!(!reach.is_proven(NOW + Duration::from_secs(3), &service));
+    assert!(!reach.is_in_doubt(&service));
+    reach.note_failed(&service, &"s1".into(), 2);
+    assert!(!reach.is_in_doubt(&service));
+    reach.note_failed(&service, &"s2".into(), 2);
+    assert!(reach.is_in_doubt(&service));
+    reach.note_probes_failed(&service);
+    assert!(!reach.is_in_doubt(&service));
+}
+
 /// A service with one server has no second one to fail.
 #[test]
 fn single_server_is_probed() {
--- a/crates/verbenahinge/src/gateway/attempt.rs
+++ b/crates/verbenahinge/src/gateway/attempt.rs
@@ -142,6 +142,10 @@
                     return Err(failed(FailureKind::ConnectFailed));
                 }
             };
+            if connection.is_new() && !self.is_sound(&entry, &mut connection).await {
+                reach::note_failed(self, &entry);
+                return Err(failed(FailureKind::ConnectFailed));
+            }
             if !self.state.borrow().may_send_to(self.now(), &entry) {
                 return Err(failed(FailureKind::NotSent));
             }
@@ -192,7 +196,7 @@
                 }
             };
             if is_new {
-                reach::note_connected(self, &entry.service);
+                reach::note_answered(self, &entry.service);
             }
             let (parts, body) = response.into_parts();
             let head = http_headers::decode_server_response(parts.status.as_u16(), &parts.headers);
@@ -209,6 +213,13 @@
         }
     }
 
+    /// Whether a new connection can carry a request; one that is reset after the request was written leaves
+    /// open whether the request has run.
+    async fn is_sound(&self, entry: &ServerEntry, connection: &mut PooledConnection) -> bool {
+        let is_proven = self.reach.borrow().is_proven(self.now(), &entry.service);
+        is_proven || connection.is_kept().await
+    }
+
     /// Address of the engine that prefilled prompt parts are copied from, if it still takes requests.
     fn copy_source(&self, choice: &ServerChoice) -> Option<SocketAddr> {
         let state = self.state.borrow();
--- a/crates/verbenahinge/src/gateway/peer_relay.rs
+++ b/crates/verbenahinge/src/gateway/peer_relay.rs
@@ -19,9 +19,9 @@
 use super::attempt::AttemptError;
 use super::connection_pool::PooledConnection;
 use super::frontend::Ingress;
-use super::peers;
 use super::request_handler::RequestHandler;
 use super::response::{CallerResponse, IncompleteResponse, ResponseBody};
+use super::{peers, reach};
 use crate::event_log::LogEvent;
 
 /// VMs to which one request is offered.
@@ -63,6 +63,14 @@
 }
 
 impl RequestHandler {
+    /// Whether the request has found no connection to a server, so that probes will tell whether it can be
+    /// handed over.
+    fn may_be_cut_off(&self) -> bool {
+        self.request.ingress == Ingress::Callers
+            && self.has_reached_no_server()
+            && self.has_failed_to_connect()
+    }
+
     /// Whether the request can be handed over: it has reached no server, and this VM reaches none.
     fn may_be_relayed(&self) -> bool {
         self.request.ingress == Ingress::Callers
@@ -76,6 +84,9 @@
     ///
     /// Returns the handler if the request is to be handled here, as no other VM can run it.
     pub(crate) async fn relay_if_cut_off(mut self) -> Result<CallerResponse, Self> {
+        if self.may_be_cut_off() {
+            reach::wait_for_probes(&self.gateway, &self.call.service).await;
+        }
         if !self.may_be_relayed() {
             return Err(self);
         }
--- a/crates/verbenahinge/src/gateway/reach.rs
+++ b/crates/verbenahinge/src/gateway/reach.rs
@@ -17,6 +17,12 @@
 /// Time between two probes while the VM is cut off.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Maximum time to wait for the first probes: that in which a connection opens or fails, and is kept or not.
+const MAX_PROBE_WAIT: Duration = Duration::from_millis(450);
+
+/// Time between two looks whether the first probes have ended.
+const PROBE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Records that a new connection to a server failed before the server answered on it.
 pub(super) fn note_failed(gateway: &Rc<Gateway>, entry: &ServerEntry) {
     let ready = gateway
@@ -34,12 +40,28 @@
     }
 }
 
-/// Records that a server has answered on a new connection.
-pub(super) fn note_connected(gateway: &Rc<Gateway>, service: &str) {
+/// Records that a server has answered a request on a new connection.
+pub(super) fn note_answered(gateway: &Rc<Gateway>, service: &ServiceName) {
+    let now = gateway.now();
+    gateway.reach.borrow_mut().note_answered(now, service);
+    note_connected(gateway, service);
+}
+
+/// Waits for the first probes of a service whose servers may be out of reach.
+pub(super) async fn wait_for_probes(gateway: &Gateway, service: &str) {
+    let started = gateway.now();
+    while gateway.reach.borrow().is_in_doubt(service)
+        && gateway.now().saturating_sub(started) < MAX_PROBE_WAIT
+    {
+        actix_rt::time::sleep(PROBE_CHECK_INTERVAL).await;
+    }
+}
+
+/// Records that a server has kept a new connection.
+fn note_connected(gateway: &Rc<Gateway>, service: &str) {
     let was_cut_off = gateway.reach.borrow_mut().note_connected(service);
     if was_cut_off {
-        LogEvent::ServersReached.log(&[("service", &service)]);
-        peers::push_reach(gateway);
+        end_cut(gateway, service);
     }
 }
 
@@ -72,12 +94,18 @@
             break;
         }
     }
-    if gateway.reach.borrow_mut().end_probes(&service) {
-        LogEvent::ServersReached.log(&[("service", &service)]);
-        peers::push_reach(&gateway);
+    let was_cut_off = gateway.reach.borrow_mut().end_probes(&service);
+    if was_cut_off {
+        end_cut(&gateway, &service);
     }
 }
 
+fn end_cut(gateway: &Rc<Gateway>, service: &str) {
+    gateway.state.borrow_mut().end_cut(service);
+    LogEvent::ServersReached.log(&[("service", &service)]);
+    peers::push_reach(gateway);
+}
+
 fn names(servers: &[ServerEntry]) -> Vec<&str> {
     servers.iter().map(|entry| &*entry.id).collect()
 }
--- a/crates/verbenahinge/src/gateway/request_handler.rs
+++ b/crates/verbenahinge/src/gateway/request_handler.rs
@@ -240,6 +240,11 @@
         self.gateway.reach.borrow().is_cut_off(&self.call.service)
     }
 
+    /// Whether a connection for the request could not be opened, or was not kept.
+    pub(crate) const fn has_failed_to_connect(&self) -> bool {
+        self.connect_failures > 0
+    }
+
     /// Whether no server has received the request.
     pub(crate) fn has_reached_no_server(&self) -> bool {
         self.attempt_count == 0 && self.verdict == Verdict::NotRun
--- a/crates/verbenahinge/tests/message_versions.rs
+++ b/crates/verbenahinge/tests/message_versions.rs
@@ -132,7 +132,7 @@
 
 async fn check_streams(peer: &Peer) {
     let told = Stream {
-        stream: 900 + peer.id,
+        id: 900 + peer.id,
         version: 77,
         time_left_ms: 60_000,
     };
@@ -143,7 +143,7 @@
     .await;
     peer.send(EarlierMessage {
         stream_query: Some(StreamQuery {
-            stream: Some(told.stream),
+            stream: Some(told.id),
             services: vec!["other".to_owned()],
         }),
         stream_query_id: 13,
@@ -173,7 +173,7 @@
         }],
         limits: vec![Limit {
             server,
-            limit_milli_per_s: Some(900_000),
+            milli_per_s: Some(900_000),
             age_ms: 1,
             demand: 4,
         }],
--- a/crates/verbenahinge/tests/support/peer_wire.rs
+++ b/crates/verbenahinge/tests/support/peer_wire.rs
@@ -133,7 +133,7 @@
     #[prost(fixed64, tag = "1")]
     pub(crate) server: u64,
     #[prost(uint64, optional, tag = "2")]
-    pub(crate) limit_milli_per_s: Option<u64>,
+    pub(crate) milli_per_s: Option<u64>,
     #[prost(uint32, tag = "3")]
     pub(crate) age_ms: u32,
     #[prost(uint32, tag = "4")]
@@ -151,7 +151,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct Stream {
     #[prost(fixed64, tag = "1")]
-    pub(crate) stream: u64,
+    pub(crate) id: u64,
     #[prost(fixed64, tag = "2")]
     pub(crate) version: u64,
     #[prost(uint32, tag = "3")]
