perf(core): the slots of a VM at brittle engines are counted without ordering all VMs by server

The VM's part is now the service's slots by VMs, and what it uses at an engine counts up to its part there. brittle_engines passes in 26 s with the rest of tier_promise; few_brittle_slots stays red, with 28 of 121 and 213 of 827 refused.

--- a/crates/verbenahinge-core/src/gateway/state/brittle.rs
+++ b/crates/verbenahinge-core/src/gateway/state/brittle.rs
@@ -189,16 +189,18 @@
         if priorities == 0 {
             return false;
         }
-        let mut slots = 0;
-        let mut free = 0;
+        let vms = u32::try_from(self.vm_count()).unwrap_or(u32::MAX);
+        let mut slots: u32 = 0;
+        let mut used: u32 = 0;
         for entry in self.registry.ready(&call.service) {
             let Some(backend) = self.backends.get(&entry.id) else {
                 continue;
             };
-            let share = self.slot_share(entry);
-            slots += share;
-            free += share.saturating_sub(backend.own_running());
+            slots = slots.saturating_add(entry.slots);
+            used += backend.own_running().min(entry.slots.div_ceil(vms));
         }
+        let slots = slots / vms;
+        let free = slots.saturating_sub(used);
         let spare = to_u32((f64::from(slots).sqrt() / 2.0).round()).max(1);
         let reserved = (priorities * spare).min(slots / URGENT_SLOTS_DIVISOR);
         reserved > 0 && free <= reserved
