fix(core): long prompts are not copied to busy engines that lack their shared parts

Cause: a search among eight engines spread long prompts, since a copy of the shared parts did not count as reading them. The copies take the memory of parts that other prompts need, which are then read again.

--- a/crates/verbenahinge-core/src/gateway/placement.rs
+++ b/crates/verbenahinge-core/src/gateway/placement.rs
@@ -261,9 +261,8 @@
         plan: PrefillPlan,
     ) -> (f64, Option<Obstacle>, ServerChoice) {
         let ahead = candidate.backend.prefill_ahead(call.priority());
-        let is_cold = !candidate.is_preferred
-            && ahead > 0.0
-            && self.reads_shared_parts(call, candidate, &plan);
+        let is_cold =
+            !candidate.is_preferred && ahead > 0.0 && self.lacks_shared_parts(call, candidate);
         let (cost, full, choice) = engine_cost(call, candidate, engine, interactive, plan);
         let obstacle = if choice.expected_wait > self.max_admitted_wait(call) {
             Some(Obstacle::Late)
--- a/crates/verbenahinge-core/src/gateway/placement/obstacle.rs
+++ b/crates/verbenahinge-core/src/gateway/placement/obstacle.rs
@@ -16,7 +16,7 @@
     Late,
     /// The prefill queue has room only for more urgent prompts.
     Yields,
-    /// The engine is busy, does not suit the prompt best and would have to read its shared parts.
+    /// The engine is busy, does not suit the prompt best and would have to read or copy its shared parts.
     Cold,
     /// All slots are in use.
     NoSlot,
--- a/crates/verbenahinge-core/src/gateway/placement/prefill.rs
+++ b/crates/verbenahinge-core/src/gateway/placement/prefill.rs
@@ -119,19 +119,13 @@
         })
     }
 
-    /// Whether an engine would have to read most of the shared parts of a prompt itself.
-    pub(super) fn reads_shared_parts(
-        &self,
-        call: &Call,
-        candidate: &Candidate,
-        plan: &PrefillPlan,
-    ) -> bool {
+    /// Whether an engine would have to read or copy most of the shared parts of a prompt.
+    pub(super) fn lacks_shared_parts(&self, call: &Call, candidate: &Candidate) -> bool {
         let Some(prompt) = &call.prompt else {
             return false;
         };
         let cached = self.cached_or_queued_tokens(prompt, candidate.backend);
-        let missing = prompt.shared_tokens().saturating_sub(cached);
-        plan.copy_from.is_none() && missing >= MIN_COPY_TOKENS
+        prompt.shared_tokens().saturating_sub(cached) >= MIN_COPY_TOKENS
     }
 
     fn cached_or_queued_tokens(&self, prompt: &Prompt, backend: &Backend) -> u32 {
