--- a/crates/verbenahinge-testkit/src/gateway_fleet.rs
+++ b/crates/verbenahinge-testkit/src/gateway_fleet.rs
@@ -35,6 +35,8 @@
 /// A store, backend servers and VMs of the gateway as processes on loopback.
 pub struct GatewayFleet {
     bin: PathBuf,
+    /// Binary that VMs start with.
+    vm_bin: PathBuf,
     dir: PathBuf,
     store: Process,
     servers: Vec<RegisteredServer>,
@@ -60,6 +62,7 @@
         std::fs::create_dir_all(&dir).expect("failed to create a directory for settings");
         let mut fleet = Self {
             store: Process::start(&bin, &store_args.map(ToOwned::to_owned), store_address),
+            vm_bin: options.vm_bin.unwrap_or_else(|| bin.clone()),
             bin,
             dir,
             servers: Vec::new(),
@@ -140,8 +143,12 @@
             "debug",
         ];
         let log_file = self.dir.join(format!("{}.log", settings.name));
-        let process =
-            Process::start_logged(&self.bin, &args.map(ToOwned::to_owned), listen, &log_file);
+        let process = Process::start_logged(
+            &self.vm_bin,
+            &args.map(ToOwned::to_owned),
+            listen,
+            &log_file,
+        );
         self.vms.push(GatewayVm { process, settings });
     }
 
@@ -182,6 +189,12 @@
         self.vms.len()
     }
 
+    /// Has a VM that has exited start again with the binary of the other processes.
+    pub fn upgrade_vm(&mut self, vm: usize) {
+        let bin = self.bin.clone();
+        self.vms[vm].process.restart_with(bin);
+    }
+
     /// Process of a VM.
     pub fn vm_process(&mut self, vm: usize) -> &mut Process {
         &mut self.vms[vm].process
--- a/crates/verbenahinge-testkit/src/gateway_fleet/options.rs
+++ b/crates/verbenahinge-testkit/src/gateway_fleet/options.rs
@@ -1,5 +1,7 @@
 //! Options of a gateway fleet.
 
+use std::path::PathBuf;
+
 /// Numbers of VMs and backend servers, configuration and arguments of the servers.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct GatewayFleetOptions {
@@ -7,6 +9,7 @@
     pub(super) servers: usize,
     pub(super) config: String,
     pub(super) server_args: Vec<String>,
+    pub(super) vm_bin: Option<PathBuf>,
 }
 
 impl GatewayFleetOptions {
@@ -19,6 +22,7 @@
             servers: 2,
             config: config.into(),
             server_args: Vec::new(),
+            vm_bin: None,
         }
     }
 
@@ -36,6 +40,13 @@
         self
     }
 
+    /// Starts the VMs with a binary of another build.
+    #[must_use]
+    pub fn vm_bin(mut self, bin: impl Into<PathBuf>) -> Self {
+        self.vm_bin = Some(bin.into());
+        self
+    }
+
     /// Adds a command-line argument of the backend servers.
     #[must_use]
     pub fn server_arg(mut self, flag: &str, value: &str) -> Self {
--- a/crates/verbenahinge-testkit/src/process.rs
+++ b/crates/verbenahinge-testkit/src/process.rs
@@ -241,6 +241,12 @@
         self.wait_until_listening();
     }
 
+    /// Kills the process and starts another binary with the same arguments.
+    pub fn restart_with(&mut self, bin: impl AsRef<Path>) {
+        self.bin = bin.as_ref().to_string_lossy().into_owned();
+        self.restart();
+    }
+
     /// Returns whether the process has exited.
     ///
     /// # Panics
