--- a/crates/verbenahinge-core/tests/support/engine_fleet.rs
+++ b/crates/verbenahinge-core/tests/support/engine_fleet.rs
@@ -3,6 +3,10 @@
 
 #[path = "engine_fleet/engine.rs"]
 mod engine;
+#[path = "engine_fleet/links.rs"]
+mod links;
+#[path = "engine_fleet/new_vm.rs"]
+mod new_vm;
 #[path = "engine_fleet/tier_record.rs"]
 mod tier_record;
 #[path = "engine_fleet/trouble.rs"]
@@ -13,13 +17,13 @@
 use std::time::Duration;
 
 use verbenahinge_core::gateway::{
-    Bounds, Call, DIGEST_INTERVAL, EngineLimits, EngineSearch, GatewayState, LoadChanges,
-    PlacementError, Route, Routing, ServerChoice, ServerEntry, Service,
+    Call, EngineSearch, GatewayState, LoadChanges, PlacementError, Route, ServerChoice,
 };
-use verbenahinge_core::hash::{hash64, mix64};
+use verbenahinge_core::hash::mix64;
 use verbenahinge_core::{FailureKind, ServerName, Timestamp};
 
 use self::engine::{Engine, Job};
+use self::new_vm::new_vm;
 use self::tier_record::{Fate, TierRecord};
 pub(crate) use self::trouble::Trouble;
 use self::trouble::TroubleStep;
@@ -34,12 +38,6 @@
 /// VMs from which on load is queried instead of told to all.
 const LARGE_FLEET_VMS: usize = 18;
 
-/// VMs that hear the demand of a VM in one of its rounds.
-const DEMAND_FANOUT: usize = 16;
-
-/// Rounds between two digests with the demand of a VM.
-const DEMAND_ROUNDS: u64 = 3;
-
 /// Requests of one class.
 pub(crate) struct LoadClass {
     pub(crate) route: Arc<Route>,
@@ -299,28 +297,6 @@
         }
     }
 
-    fn aggregator(&self, server: u64) -> usize {
-        let weight = |vm: &usize| mix64(server, *vm as u64);
-        (0..self.shape.vms).max_by_key(weight).expect("a VM")
-    }
-
-    fn read_load(&mut self, vm: usize, call: &Call, search: &EngineSearch) {
-        let prompt = call.prompt.as_ref().expect("requests have prompts");
-        let parts: Vec<u64> = prompt.shared_parts().iter().map(|part| part.id).collect();
-        for name in search.queried() {
-            let server = hash64(name.as_bytes());
-            let aggregator = self.aggregator(server);
-            if aggregator == vm {
-                continue;
-            }
-            let id = vm_id(vm);
-            let load = self.vms[aggregator].aggregated_load_for(self.now, id, server, &parts);
-            if let Some(load) = load {
-                self.vms[vm].note_aggregated_load(self.now, load);
-            }
-        }
-    }
-
     fn place(
         &mut self,
         class: usize,
@@ -359,18 +335,6 @@
         found.expect("the engine is known")
     }
 
-    fn tell_aggregator(&mut self, vm: usize, server: &str) {
-        if !self.is_large() {
-            return;
-        }
-        let aggregator = self.aggregator(hash64(server.as_bytes()));
-        let mut digest = self.vms[vm].digest_without_load(self.now);
-        digest.servers.extend(self.vms[vm].own_load(server));
-        if aggregator != vm {
-            self.vms[aggregator].apply_digest(self.now, &digest);
-        }
-    }
-
     fn begin_prefill(&mut self, engine: usize) {
         let Some(ends_at) = self.engines[engine].begin_prefill(self.now) else {
             return;
@@ -408,70 +372,8 @@
         let epoch = self.engines[engine].epoch;
         self.schedule(time, Event::NextToken(engine, epoch, Box::new(job)));
     }
-
-    fn send_digest(&mut self, vm: usize, round: u64) {
-        if self.are_vms_down {
-            self.schedule(DIGEST_INTERVAL, Event::Digest(vm, round + 1));
-            return;
-        }
-        let mut digest = self.vms[vm].full_digest(self.now);
-        digest.servers = self.told[vm].take(&digest.servers);
-        if self.is_large() {
-            for server in &digest.servers {
-                let aggregator = self.aggregator(server.server);
-                if aggregator == vm {
-                    continue;
-                }
-                let mut told = self.vms[vm].digest_without_load(self.now);
-                told.servers.push(server.clone());
-                self.vms[aggregator].apply_digest(self.now, &told);
-            }
-            if round.is_multiple_of(DEMAND_ROUNDS) {
-                let demand = self.vms[vm].digest_without_load(self.now);
-                for _ in 0..DEMAND_FANOUT {
-                    let other = self.below(self.shape.vms);
-                    if other != vm {
-                        self.vms[other].apply_digest(self.now, &demand);
-                    }
-                }
-            }
-        } else {
-            for other in (0..self.shape.vms).filter(|&other| other != vm) {
-                self.vms[other].apply_digest(self.now, &digest);
-            }
-        }
-        self.vms[vm].tick(self.now, Duration::from_mins(1));
-        self.schedule(DIGEST_INTERVAL, Event::Digest(vm, round + 1));
-    }
 }
 
 fn vm_id(vm: usize) -> u64 {
     vm as u64 + 1
 }
-
-fn new_vm(shape: FleetShape, vm: usize, engines: &[ServerName]) -> GatewayState {
-    let mut routing = Routing::new(1);
-    let service = Service {
-        max_connections: 670,
-        engine: Some(EngineLimits {
-            slots: shape.slots,
-            memory_tokens: 257_981,
-            token_copy: Some(Duration::from_nanos(9400)),
-            tokens_per_event: shape.tokens_per_event,
-        }),
-    };
-    routing.services.insert("engines".into(), service);
-    let mut state = GatewayState::new(vm_id(vm), "a".into(), Bounds::default());
-    state.adopt_routing(routing);
-    for (index, name) in engines.iter().enumerate() {
-        state.upsert_server(engine_entry(shape, index, name));
-    }
-    state.mark_registry_complete();
-    state
-}
-
-fn engine_entry(shape: FleetShape, index: usize, name: &str) -> ServerEntry {
-    let port = 9000 + u16::try_from(index).expect("few engines");
-    let entry = ServerEntry::new(name, "engines", ([127, 0, 0, 1], port).into());
-    entry.availability_zone("a").slots(shape.slots)
-}
--- a/crates/verbenahinge-core/tests/support/engine_fleet/trouble.rs
+++ b/crates/verbenahinge-core/tests/support/engine_fleet/trouble.rs
@@ -4,7 +4,8 @@
 
 use verbenahinge_core::gateway::BrittleState;
 
-use super::{EngineFleet, Event, engine_entry, new_vm};
+use super::new_vm::{engine_entry, new_vm};
+use super::{EngineFleet, Event};
 
 /// Time between two answers in which brittle engines say so.
 const BRITTLE_INTERVAL: Duration = Duration::from_secs(1);
