test(soak): the last configuration is looked for after VMs that shut down are back

By its log, VM 0 got SIGTERM 1.8 s before the checks, served the request that tells whether it has recovered while it was ending, and ended as it should 0.2 s after that configuration; check_config then waited for the log of a process that was gone.

check_config now comes after finish_shutdowns instead of before: a VM that was shutting down has to have the configuration in force after its start, all others as before. Nothing is left out, and the bound is the same.

--- a/crates/verbenahinge/tests/fault_soak.rs
+++ b/crates/verbenahinge/tests/fault_soak.rs
@@ -154,8 +154,8 @@
     context.is_finished.set(true);
     join_all(callers).await;
     let mut violations = wait_for_recovery(&mut soak, seed).await;
-    violations.extend(check_config(&soak).await);
     soak.finish_shutdowns().await;
+    violations.extend(check_config(&soak).await);
     violations.extend(check_quarantine(&mut soak).await);
     violations.extend(deadly::check_refused(&mut soak).await);
     violations.extend(check_leaving(&mut soak, seed, &departure_rng).await);
