--- a/review/standins/kit.rs
+++ b/review/standins/kit.rs
@@ -275,6 +275,17 @@
         rows.version
     }
 
+    /// Drops a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        let (rows, changed) = &*self.rows;
+        let mut rows = rows.lock().unwrap();
+        rows.version += 1;
+        let version = rows.version;
+        let name = (table.to_owned(), String::new(), key.to_owned());
+        rows.rows.insert(name, StoredRow { version, value: None });
+        changed.notify_all();
+    }
+
     fn answer(&self, request: &Message) -> (&'static str, String) {
         let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
         let query: BTreeMap<String, String> = query
