review: case 3 leaves the crash a wider moment

Cause: the two runs that the crash meets lasted 20 ms, which a slow machine may miss.

Added: these two last 100 ms (up to 110 ms are usual), all others 15 ms.

--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -4,8 +4,10 @@
 #[path = "../standins/kit.rs"]
 mod kit;
 
+use std::fs::File;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread::{sleep, spawn};
@@ -17,7 +19,10 @@
 const WORKERS: usize = 9;
 
 /// `work_ms` of `alive-check`: 15 on average, up to 110.
-const WORK: Duration = Duration::from_millis(20);
+const WORK: Duration = Duration::from_millis(15);
+
+/// Work of the two runs that the crash meets.
+const LONG_WORK: Duration = Duration::from_millis(100);
 
 /// Requests on each route after the crash; the rule asks for 20 or more.
 const REQUESTS: usize = 30;
@@ -36,10 +41,16 @@
 }
 
 impl Worker {
-    fn start(id: &str, address: SocketAddr, runs: &Sender<(String, String)>) -> Result<Self, String> {
+    fn start(
+        id: &str,
+        address: SocketAddr,
+        folder: &Folder,
+        runs: &Sender<(String, String)>,
+    ) -> Result<Self, String> {
         let program = std::env::current_exe().map_err(|error| error.to_string())?;
         let mut child = Command::new(program)
             .args(["worker", &address.to_string()])
+            .arg(&folder.0)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .spawn()
@@ -82,13 +93,20 @@
     }
 }
 
+/// Whether no worker has run a request before that meets the crash.
+fn is_first_run(folder: &Path, id: &str) -> bool {
+    let mut options = File::options();
+    let file = options.write(true).create_new(true).open(folder.join(id));
+    id.starts_with("at-crash") && file.is_ok()
+}
+
 /// Runs requests, and names each on standard output when its run begins.
-fn work(address: &str) {
+fn work(address: &str, folder: PathBuf) {
     let address: SocketAddr = address.parse().expect("an address");
-    kit::serve(address, |request, reader| {
+    kit::serve(address, move |request, reader| {
         let id = request.header("x-request-id").unwrap_or("-").to_owned();
         println!("{id}");
-        sleep(WORK);
+        sleep(if is_first_run(&folder, &id) { LONG_WORK } else { WORK });
         let headers = [
             ("X-Request-Id", id.as_str()),
             ("X-Server-Signature", "3e1b.07.5a2.600.0.c9f2a4d1"),
@@ -148,7 +166,7 @@
     let mut workers = Vec::new();
     for number in 0..WORKERS {
         let address = kit::free_address().map_err(text)?;
-        let worker = Worker::start(&format!("i-{number}f3a91c2"), address, &told)?;
+        let worker = Worker::start(&format!("i-{number}f3a91c2"), address, folder, &told)?;
         store.put("servers", &worker.id, &worker.entry());
         workers.push(worker);
     }
@@ -204,7 +222,7 @@
             let id = worker.id.replace("f3a91c2", "02d9e6b4");
             store.remove("servers", &worker.id);
             worker.crash();
-            *worker = Worker::start(&id, worker.address, &told)?;
+            *worker = Worker::start(&id, worker.address, folder, &told)?;
             store.put("servers", &id, &worker.entry());
             record.note(&format!("worker {id} is back in place of a crashed one"));
         }
@@ -235,7 +253,8 @@
 fn main() {
     let mut arguments = std::env::args().skip(1);
     if arguments.next().as_deref() == Some("worker") {
-        work(&arguments.next().expect("an address"));
+        let address = arguments.next().expect("an address");
+        work(&address, arguments.next().expect("a folder").into());
         return;
     }
     kit::run_case(case);
