review: a case that panics could not run

Cause: a panic of a script ended with 101 in place of 2. Added: the panic is caught in the stand-ins' kit.

--- a/review/standins/kit.rs
+++ b/review/standins/kit.rs
@@ -7,6 +7,7 @@
 use std::fs::File;
 use std::io::{self, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Condvar, Mutex};
@@ -756,7 +757,8 @@
         .map_err(|error| error.to_string())
         .and_then(|record| {
             let folder = Folder::create().map_err(|error| error.to_string())?;
-            let outcome = case(&record, &folder);
+            let run = AssertUnwindSafe(|| case(&record, &folder));
+            let outcome = catch_unwind(run).unwrap_or_else(|_| Err("the case panicked".to_owned()));
             match &outcome {
                 Ok(outcome) => record.note(&format!("outcome {outcome:?}")),
                 Err(error) => record.note(&format!("could not run: {error}")),
