--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -1,7 +1,7 @@
 //! All API keys of the only tenant are taken away, one after the other; then requests with a key that was
 //! taken away, with a key that no config ever held and without a key are sent.
 
-#[path = "../standins/kit.rs"]
+#[path = "../kit.rs"]
 mod kit;
 
 use std::sync::{Arc, Mutex};
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -1,7 +1,7 @@
 //! Two workers of one rack crash while each runs the same status request of one tenant. The request is sound; it
 //! is served at once by other workers. Later ones are sent on a route that was added by a new config version.
 
-#[path = "../standins/kit.rs"]
+#[path = "../kit.rs"]
 mod kit;
 
 use std::fs::File;
--- a/review/standins/kit.rs
+++ b/review/kit.rs
@@ -738,9 +738,9 @@
     }
 }
 
-/// Whether the disruption takes place.
+/// Whether the disruption takes place, by the second argument; `run.sh` sets it by `TROUBLE`.
 pub fn has_trouble() -> bool {
-    std::env::var("TROUBLE").map_or(true, |value| value != "0")
+    std::env::args().nth(2).as_deref() != Some("without")
 }
 
 /// What a case found.
@@ -760,7 +760,10 @@
             let run = AssertUnwindSafe(|| case(&record, &folder));
             let outcome = catch_unwind(run).unwrap_or_else(|_| Err("the case panicked".to_owned()));
             match &outcome {
-                Ok(outcome) => record.note(&format!("outcome {outcome:?}")),
+                Ok(outcome) => {
+                    let disruption = if has_trouble() { "with" } else { "without" };
+                    record.note(&format!("outcome {disruption} the disruption: {outcome:?}"));
+                }
                 Err(error) => record.note(&format!("could not run: {error}")),
             }
             outcome
