feat(gateway): a rejected request's line names the age of the configuration

The log could not tell a VM that refuses by an outdated configuration from one whose configuration is the newest: no line had the age of the replica. Event 512 has it now (config_age_ms).

--- a/crates/verbenahinge/src/gateway/frontend.rs
+++ b/crates/verbenahinge/src/gateway/frontend.rs
@@ -300,11 +300,14 @@
 fn reject(gateway: &Gateway, caller: &CallerHeaders, reason: &RejectReason) -> CallerResponse {
     let status = reason.status();
     let id = caller.request_id.as_deref();
+    let config_age = watch::config_age(gateway);
+    let config_age = config_age.map_or_else(|| "-".to_owned(), |age| age.as_millis().to_string());
     LogEvent::RequestTurnedAway.log(&[
         ("request_id", &id.unwrap_or("-")),
         ("status", &status.as_u16()),
         ("reason", &reason.message()),
         ("config", &gateway.state.borrow().config_version()),
+        ("config_age_ms", &config_age),
     ]);
     gateway.metrics.count_rejected(status.as_u16());
     let delay = match reason {
--- a/crates/verbenahinge/src/gateway/watch.rs
+++ b/crates/verbenahinge/src/gateway/watch.rs
@@ -315,6 +315,14 @@
     (newer.version > gateway.state.borrow().config_version()).then_some(newer)
 }
 
+/// Time since the configuration was last known to be the newest; `None` before the first one.
+pub(super) fn config_age(gateway: &Gateway) -> Option<Duration> {
+    let now = gateway.now();
+    gateway
+        .replicas
+        .with(Feed::Config, |replica| replica.age(now))
+}
+
 /// Whether a newer configuration is known to be in force elsewhere, or is being decoded.
 pub(super) fn is_config_outdated(gateway: &Gateway) -> bool {
     gateway.replicas.decoding.get() > 0
