--- a/crates/verbenahinge-emulator/src/scripted_server.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server.rs
@@ -122,14 +122,28 @@
 /// Number of bytes of a head that is cut off, in its second line.
 const CUT_HEAD_BYTES: usize = 24;
 
-/// Sends the start of a response and then one letter again and again, until the client closes.
-async fn send_endlessly(stream: &mut TcpStream, start: &[u8]) -> io::Result<()> {
-    /// Number of letters that are sent at a time.
-    const CHUNK_BYTES: usize = 16 << 10;
+/// Sends the start of a response and then a text again and again, until the client closes; returns the
+/// number of bytes after the start.
+async fn send_endlessly(stream: &mut TcpStream, start: &[u8], text: &str) -> io::Result<usize> {
+    /// Number of bytes that are sent at a time.
+    const PIECE_BYTES: usize = 16 << 10;
     stream.write_all(start).await?;
-    let letters = vec![b'x'; CHUNK_BYTES];
-    while stream.write_all(&letters).await.is_ok() {}
-    Ok(())
+    let piece = text.repeat(PIECE_BYTES / text.len());
+    let mut bytes = 0;
+    while stream.write_all(piece.as_bytes()).await.is_ok() {
+        bytes += piece.len();
+    }
+    Ok(bytes)
+}
+
+/// Text that an endless response repeats.
+const fn endless_text(fault: ServerFault) -> &'static str {
+    match fault {
+        ServerFault::EndlessInterim => "HTTP/1.1 103 Early Hints\r\n\r\n",
+        ServerFault::EndlessChunkSize => "0",
+        ServerFault::EndlessComments => ": comment\n\n",
+        _ => "x",
+    }
 }
 
 async fn send_records<T: Serialize>(
@@ -324,10 +338,12 @@
                 stream.write_all(&responder.failed()).await?;
                 return Ok(true);
             }
-            ServerFault::EndlessHead | ServerFault::EndlessBody | ServerFault::EndlessEvent => {
-                send_endlessly(stream, &responder.endless_start(fault)).await?;
+            _ if fault.is_endless() => {
+                let start = responder.endless_start(fault);
+                let bytes = send_endlessly(stream, &start, endless_text(fault)).await?;
                 if let Some(executed) = self.executed_requests.borrow_mut().get_mut(record_index) {
                     executed.was_closed = true;
+                    executed.endless_bytes = bytes;
                 }
                 return Ok(false);
             }
--- a/crates/verbenahinge-emulator/src/scripted_server/executed_request.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/executed_request.rs
@@ -27,6 +27,8 @@
     pub is_complete: bool,
     /// Whether the client closed the connection before an endless response ended.
     pub was_closed: bool,
+    /// Bytes of an endless response that were sent, in whole pieces.
+    pub endless_bytes: usize,
     /// Time of its arrival since the start of the server, in milliseconds.
     pub arrived_ms: u64,
     /// Fault that was injected into the response, or else the last one on its connection.
--- a/crates/verbenahinge-emulator/src/scripted_server/request.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/request.rs
@@ -45,6 +45,7 @@
             moved_from: self.moved_from.clone(),
             is_complete: false,
             was_closed: false,
+            endless_bytes: 0,
             arrived_ms: 0,
             fault: ServerFault::None,
             connection: 0,
--- a/crates/verbenahinge-emulator/src/scripted_server/response.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/response.rs
@@ -128,10 +128,18 @@
     pub(super) fn endless_start(self, fault: ServerFault) -> Vec<u8> {
         let signature = self.signature_header();
         let (headers, start) = match fault {
+            ServerFault::EndlessInterim => return Vec::new(),
             ServerFault::EndlessEvent => {
                 let headers = format!("{signature}content-type: text/event-stream\r\n");
                 (headers, "id: 1\ndata: ")
             }
+            ServerFault::EndlessComments => {
+                let headers = format!("{signature}content-type: text/event-stream\r\n");
+                (headers, "")
+            }
+            ServerFault::EndlessChunkSize => {
+                (format!("{signature}transfer-encoding: chunked\r\n"), "")
+            }
             _ => (signature, ""),
         };
         let mut head = self.head("200 OK", &headers);
--- a/crates/verbenahinge-emulator/src/scripted_server/server_fault.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/server_fault.rs
@@ -59,6 +59,12 @@
     EndlessBody,
     /// Sends an event of a stream that does not end, until the client closes the connection.
     EndlessEvent,
+    /// Sends interim responses, until the client closes the connection.
+    EndlessInterim,
+    /// Sends the size of a chunk of a body, which does not end, until the client closes the connection.
+    EndlessChunkSize,
+    /// Sends comment lines of a stream of events, until the client closes the connection.
+    EndlessComments,
 }
 
 impl ServerFault {
@@ -68,6 +74,19 @@
         matches!(self, Self::None | Self::Pause | Self::PauseAtStart)
     }
 
+    /// Whether the server sends the same bytes again and again until the client closes the connection.
+    pub(super) const fn is_endless(self) -> bool {
+        matches!(
+            self,
+            Self::EndlessHead
+                | Self::EndlessBody
+                | Self::EndlessEvent
+                | Self::EndlessInterim
+                | Self::EndlessChunkSize
+                | Self::EndlessComments
+        )
+    }
+
     /// Whether the fault cuts off a stream after some events, or stops it there.
     pub(super) const fn cuts_streams(self) -> bool {
         matches!(
--- a/crates/verbenahinge/tests/endless_answers.rs
+++ b/crates/verbenahinge/tests/endless_answers.rs
@@ -18,6 +18,10 @@
 /// Timeout for a server to see its connection closed.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Bytes that a VM may take of an endless response, with those that the sockets hold: the size limit of a
+/// body, and as much again.
+const MAX_TAKEN_BYTES: usize = 32 << 20;
+
 async fn check(path: &str, fault: ServerFault, is_stream: bool) {
     let mut fleet = GatewayFleet::start(BIN, GatewayFleetOptions::new(CONFIG)).await;
     let faults = ServerFaults {
@@ -49,6 +53,12 @@
             actix_rt::time::sleep(Duration::from_millis(20)).await;
         }
     }
+    for server in 0..2 {
+        for run in fleet.runs(server).await {
+            let taken = run.endless_bytes;
+            assert!(taken < MAX_TAKEN_BYTES, "{} MB were read", taken >> 20);
+        }
+    }
     let peak = fleet.vm_process(0).peak_memory_bytes();
     assert!(peak < SMALLEST_VM_BYTES, "{} MB", peak >> 20);
 }
@@ -67,3 +77,15 @@
 async fn endless_event() {
     check("/stream/x", ServerFault::EndlessEvent, true).await;
 }
+
+/// Guards against a VM whose one thread reads interim responses for as long as the caller waits.
+#[actix_rt::test]
+async fn endless_interim_responses() {
+    check("/read/x", ServerFault::EndlessInterim, false).await;
+}
+
+/// Guards against a VM whose one thread reads the size of one chunk for as long as the caller waits.
+#[actix_rt::test]
+async fn endless_chunk_size() {
+    check("/read/x", ServerFault::EndlessChunkSize, false).await;
+}
--- a/crates/verbenahinge/tests/gateway_shutdown.rs
+++ b/crates/verbenahinge/tests/gateway_shutdown.rs
@@ -112,3 +112,50 @@
     assert!(matches!(response.status, 502..=504), "{}", response.status);
     assert!(response.closes_connection());
 }
+
+/// Guards against requests that are taken late in a short grace period and cut off without an answer at its
+/// end.
+#[actix_rt::test]
+async fn short_grace_cuts_requests() {
+    let mut fleet = start(1500, 5).await;
+    let grace = Duration::from_secs(2);
+    fleet.change_settings(0, |settings| settings.bounds.shutdown_grace = grace);
+    fleet.wait_for_log(0, "name=reloaded cause=signal").await;
+    let listen = fleet.listen_address(0);
+    fleet.vm_process(0).terminate();
+    fleet.wait_for_log(0, "name=draining").await;
+    actix_rt::time::sleep(Duration::from_millis(1300)).await;
+    let caller = actix_rt::spawn(async move {
+        let mut connection = CallerConnection::open(listen).await.ok()?;
+        connection
+            .call(&GatewayRequest::new("late", "/once/x").deadline_ms(5000))
+            .await
+            .ok()
+    });
+    actix_rt::time::sleep(Duration::from_millis(700)).await;
+    fleet.vm_process(0).kill();
+    let response = caller.await.expect("caller task");
+    let was_answered = response.is_some_and(|response| response.status == 200);
+    let runs = fleet.runs_of_request("late").await;
+    assert!(runs.is_empty() || was_answered, "{runs:?}");
+}
+
+/// Guards against requests that may not run twice and are cut off without an answer at the end of the grace
+/// period.
+#[actix_rt::test]
+async fn shutdown_cuts_slow_requests() {
+    let mut fleet = start(7500, 5).await;
+    let config = CONFIG.replace("\"timeout_ms\": 1000", "\"timeout_ms\": 15000");
+    let config = config.replace("\"version\": 7", "\"version\": 8");
+    fleet.write_config(&config).await;
+    fleet
+        .wait_for_log(0, "name=config_in_force version=8 ")
+        .await;
+    fleet.vm_process(0).terminate();
+    fleet.wait_for_log(0, "name=draining").await;
+    actix_rt::time::sleep(Duration::from_millis(2200)).await;
+    let request = GatewayRequest::new("late", "/once/x").deadline_ms(15000);
+    let response = fleet.call(0, &request).await;
+    assert!(matches!(response.status, 502..=504), "{}", response.status);
+    assert!(response.closes_connection());
+}
--- a/crates/verbenahinge/tests/stream_versions.rs
+++ b/crates/verbenahinge/tests/stream_versions.rs
@@ -5,7 +5,9 @@
 
 use verbenahinge_emulator::scripted_server::{ServerFault, ServerFaults};
 use verbenahinge_platform::store::SOFTWARE_TABLE;
-use verbenahinge_testkit::{GatewayFleet, GatewayFleetOptions, GatewayRequest, GatewayResponse};
+use verbenahinge_testkit::{
+    GatewayFleet, GatewayFleetOptions, GatewayRequest, GatewayResponse, LinkFault, Proxy,
+};
 
 const BIN: &str = env!("CARGO_BIN_EXE_verbenahinge");
 const CONFIG: &str = include_str!("data/gateway.json");
@@ -213,6 +215,48 @@
     assert_eq!(response.event_ids(), [4, 5]);
 }
 
+/// VM that reaches the store through the proxy, has no other VM to ask, and knows that the servers have had one
+/// version for long.
+async fn start_out_of_step() -> (GatewayFleet, Proxy) {
+    let options = GatewayFleetOptions::new(CONFIG).servers(SERVERS);
+    let mut fleet = GatewayFleet::start(BIN, options).await;
+    let started = Instant::now();
+    while fleet.store_keys(SOFTWARE_TABLE).await.is_empty() {
+        assert!(started.elapsed() < SETTLE_TIME, "the version is not kept");
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+    }
+    let proxy = Proxy::start(fleet.store_address()).await;
+    fleet.add_vm_with_store(proxy.address());
+    fleet.wait_until_ready(1).await;
+    fleet.vm_process(0).kill();
+    let rest = stream_request("known").last_event_id(3).resumes("s0");
+    fleet.wait_for_status(1, &rest, 200).await;
+    (fleet, proxy)
+}
+
+/// Guards against a VM that continues a stream at the only version that it knows, though servers of another
+/// one have joined while it was out of step.
+#[actix_rt::test]
+async fn out_of_step_vm_joins_versions() {
+    let is_cut_off = [false, true];
+    for is_cut_off in is_cut_off {
+        let (fleet, proxy) = start_out_of_step().await;
+        if is_cut_off {
+            proxy.set_fault(LinkFault::StallResponses);
+        } else {
+            proxy.stall_open_connections();
+        }
+        let entry = fleet.server_entry(0).software("v2");
+        fleet.register(&entry).await;
+        // The stream began at the new version, through another VM.
+        let rest = stream_request("s2").last_event_id(3).resumes("s1");
+        let response = fleet.call(1, &rest).await;
+        assert_eq!(response.status, 503, "{is_cut_off}: {:?}", response.body);
+        assert!(response.retry_after_s().is_some());
+        assert!(fleet.runs_of_request("s2").await.is_empty());
+    }
+}
+
 /// Kills all VMs at once, as a loss of power does, and waits until they serve again.
 async fn lose_all_vms(fleet: &mut GatewayFleet) {
     for vm in 0..fleet.vm_count() {
