fix(gateway): a connection to the store that goes silent hides no configuration

Cause: a VM learns of changes by a watch that waits up to 4 s and is given up 1.5 s later; pauses and calls that are lost with a store that is away add to that. Each wait is bounded, their sum was never compared with the three seconds after which a VM must have what was changed. All VMs of a fleet of up to 16 watch in step, since a change ends all their watches, so that none can tell the others. Class: a loss that is noticed by the sum of timeouts that were chosen one by one.

Change: a replica that neither a response nor another VM has confirmed for 2.4 s is read on a new connection beside the pending call, again after 0.4 s and 0.75 s while nothing is answered; the first response counts. The first watcher of a small fleet waits 1.5 s at most and confirms the replicas of the others, so that nothing is checked in calm. The same holds for the registry (servers that leave). What a read without a wait tells of missing entries is decided by one record of the store's availability for each table, also where another VM announced a version; before, such a read took lapsed entries for removed ones. A response that was read late by a process that stood still counts from the time at which it may have arrived.

--- a/crates/verbenahinge-core/src/gateway.rs
+++ b/crates/verbenahinge-core/src/gateway.rs
@@ -43,6 +43,7 @@
 mod software_version;
 mod sound_parts;
 mod state;
+mod store_check;
 mod store_contact;
 mod store_version;
 mod stream_kind;
@@ -106,6 +107,7 @@
 pub use self::state::{
     BrittleReport, EnginePaceReport, GatewayState, LimitReport, PeerDigest, ServerDigest,
 };
+pub use self::store_check::{StoreCheck, needs_read_at_once};
 pub use self::store_contact::{REREGISTER_GRACE, StoreContact, StoreGap};
 pub use self::store_version::StoreVersion;
 pub use self::stream_kind::StreamKind;
--- a/crates/verbenahinge-core/src/gateway/feed.rs
+++ b/crates/verbenahinge-core/src/gateway/feed.rs
@@ -26,12 +26,14 @@
 /// Time that one watch request waits for a change if every VM watches.
 const WATCH_TIMEOUT_ALL: Duration = Duration::from_secs(4);
 
-/// Time that one watch request waits for a change if a few VMs watch for all.
+/// Time that one watch request waits for a change if a few VMs watch for all, and that of the first of them
+/// if every VM watches: all of these begin to watch at the moment of the last change, so that without
+/// it no replica would be confirmed before all watches end.
 const WATCH_TIMEOUT_FEW: Duration = Duration::from_millis(1500);
 
 /// Age up to which a replica counts as fresh: `WATCH_TIMEOUT_FEW`, the delivery time of a digest,
 /// and one lost digest. A change has to reach all VMs within three seconds.
-const FRESH_MAX_AGE: Duration = Duration::from_secs(2);
+pub(super) const FRESH_MAX_AGE: Duration = Duration::from_secs(2);
 
 /// A table of the store that every VM replicates.
 #[derive(Clone, Copy, Debug, EnumIter, Eq, IntoStaticStr, Ord, PartialEq, PartialOrd)]
@@ -112,9 +114,11 @@
 }
 
 /// Time that one watch request waits for a change in a fleet of `vms` VMs.
+///
+/// `rank` is the position of the VM in the order in which VMs are picked to watch the store.
 #[must_use]
-pub const fn watch_timeout(vms: usize) -> Duration {
-    if all_watch(vms) {
+pub const fn watch_timeout(rank: usize, vms: usize) -> Duration {
+    if all_watch(vms) && rank > 0 {
         WATCH_TIMEOUT_ALL
     } else {
         WATCH_TIMEOUT_FEW
--- a/crates/verbenahinge-core/src/gateway/store_contact.rs
+++ b/crates/verbenahinge-core/src/gateway/store_contact.rs
@@ -65,6 +65,26 @@
         self.failing_since.get_or_insert(since);
     }
 
+    /// Records the response to a call that did not wait for a change; returns what it tells about missing
+    /// entries.
+    ///
+    /// Where the replica was not confirmed for so long that entries can have lapsed, the store may have been
+    /// away without a call that noticed it.
+    pub fn record_read(
+        &mut self,
+        now: Timestamp,
+        replica_age: Option<Duration>,
+        heartbeat: Duration,
+    ) -> StoreGap {
+        let gap = self.record_response(now, replica_age, heartbeat);
+        let may_have_lapsed =
+            replica_age.is_some_and(|age| age >= heartbeat * MIN_LAPSE_HEARTBEATS);
+        match gap {
+            StoreGap::None if may_have_lapsed => StoreGap::Brief,
+            gap => gap,
+        }
+    }
+
     /// Records a response; returns what it tells about missing entries.
     ///
     /// `replica_age` is the time since the replica was last known to be up to date, be it from
--- a/crates/verbenahinge-core/src/gateway/watch_pacing.rs
+++ b/crates/verbenahinge-core/src/gateway/watch_pacing.rs
@@ -60,7 +60,7 @@
     /// Time that the next watch waits for a change. It is shorter by the pause, so that replicas are
     /// confirmed as often as without pauses.
     #[must_use]
-    pub fn next_timeout(&self, vms: usize) -> Duration {
-        watch_timeout(vms).saturating_sub(self.pause)
+    pub fn next_timeout(&self, rank: usize, vms: usize) -> Duration {
+        watch_timeout(rank, vms).saturating_sub(self.pause)
     }
 }
--- a/crates/verbenahinge-core/tests/watch_pacing.rs
+++ b/crates/verbenahinge-core/tests/watch_pacing.rs
@@ -8,6 +8,9 @@
 const VMS: usize = 88;
 const WATCHERS: u64 = 5;
 
+/// Position of a watcher that is not the first.
+const RANK: usize = 3;
+
 /// Time in which the store answers.
 const ANSWER_TIME: Duration = Duration::from_millis(4);
 
@@ -22,7 +25,7 @@
     let mut now = at(seed * 37);
     let mut applied = 0;
     while applied < changes.len() {
-        let ends_at = now + pacing.next_timeout(VMS);
+        let ends_at = now + pacing.next_timeout(RANK, VMS);
         let change_at = changes[applied];
         let answered_at = change_at.clamp(now, ends_at.max(now)) + ANSWER_TIME;
         let until = changes
@@ -75,7 +78,7 @@
     for second in 1..20 {
         let pause = pacing.note_response(at(second * 1000), VMS, true);
         assert_eq!(pause, Duration::ZERO);
-        assert_eq!(pacing.next_timeout(VMS), watch_timeout(VMS));
+        assert_eq!(pacing.next_timeout(RANK, VMS), watch_timeout(RANK, VMS));
     }
 }
 
@@ -86,9 +89,12 @@
     pacing.note_response(at(1000), VMS, true);
     let pause = pacing.note_response(at(1100), VMS, true);
     assert!(!pause.is_zero());
-    assert_eq!(pacing.next_timeout(VMS) + pause, watch_timeout(VMS));
+    assert_eq!(
+        pacing.next_timeout(RANK, VMS) + pause,
+        watch_timeout(RANK, VMS)
+    );
     assert_eq!(pacing.note_response(at(1200), VMS, false), Duration::ZERO);
-    assert_eq!(pacing.next_timeout(VMS), watch_timeout(VMS));
+    assert_eq!(pacing.next_timeout(RANK, VMS), watch_timeout(RANK, VMS));
 }
 
 /// Guards against a change for small fleets, where every VM watches for itself.
--- a/crates/verbenahinge/src/event_log.rs
+++ b/crates/verbenahinge/src/event_log.rs
@@ -49,6 +49,8 @@
     StoreResponseIgnored = 303,
     /// The store no longer has the version that a replica has applied.
     StoreVersionUnknown = 304,
+    /// A table was read beside a call that was not answered.
+    StoreChecked = 305,
     /// A backend server was ejected.
     ServerEjected = 400,
     /// An ejected backend server receives requests again.
--- a/crates/verbenahinge/src/gateway/watch.rs
+++ b/crates/verbenahinge/src/gateway/watch.rs
@@ -1,5 +1,6 @@
 //! Replicas of the store's tables, kept up to date by watching the store or by other VMs.
 
+mod checked_read;
 mod config_changes;
 mod response_log;
 mod row_changes;
@@ -14,15 +15,17 @@
 
 use strum::IntoEnumIterator;
 use tokio::sync::Notify;
-use verbenahinge_core::ConfigVersion;
 use verbenahinge_core::gateway::{
-    AnnouncedVersion, Feed, StoreGap, StoreVersion, TableReplica, WatchPacing, watches_store,
+    AnnouncedVersion, Feed, StoreContact, StoreGap, StoreVersion, TableReplica, WatchPacing,
+    needs_read_at_once, watches_store,
 };
 use verbenahinge_core::hash::jitter;
+use verbenahinge_core::{ConfigVersion, Timestamp};
 use verbenahinge_platform::store::{
     OPERATOR_TABLE, Rows, SERVER_TABLE, StoreClient, StoreError, VM_TABLE,
 };
 
+use self::checked_read::read_with_checks;
 use self::config_changes::apply_newer_config;
 use self::response_log::ResponseLog;
 pub(super) use self::row_changes::apply_peer_delta;
@@ -80,6 +83,7 @@
     decoding: Cell<usize>,
     newer_config: RefCell<Option<NewerConfig>>,
     newer_config_notify: Notify,
+    contacts: RefCell<BTreeMap<Feed, StoreContact>>,
 }
 
 impl Replicas {
@@ -94,9 +98,42 @@
             decoding: Cell::new(0),
             newer_config: RefCell::default(),
             newer_config_notify: Notify::new(),
+            contacts: RefCell::default(),
         }
     }
 
+    fn with_contact<T>(&self, feed: Feed, access: impl FnOnce(&mut StoreContact) -> T) -> T {
+        access(self.contacts.borrow_mut().entry(feed).or_default())
+    }
+
+    /// Whether the last call for a table failed.
+    fn is_failing(&self, feed: Feed) -> bool {
+        self.with_contact(feed, |contact| contact.is_failing())
+    }
+
+    /// Records that calls for a table have failed or were not answered since a time.
+    fn record_failure(&self, feed: Feed, since: Timestamp) {
+        self.with_contact(feed, |contact| contact.record_failure(since));
+    }
+
+    /// Records the response to a watch, before its rows are applied; returns what it tells about entries that
+    /// are missing.
+    fn record_response(&self, gateway: &Gateway, feed: Feed) -> StoreGap {
+        let now = gateway.now();
+        let age = self.with(feed, |replica| replica.age(now));
+        let heartbeat = gateway.settings.borrow().bounds.server_heartbeat;
+        self.with_contact(feed, |contact| contact.record_response(now, age, heartbeat))
+    }
+
+    /// Records the response to a call that did not wait, before its rows are applied; returns what it tells
+    /// about entries that are missing.
+    fn record_read(&self, gateway: &Gateway, feed: Feed) -> StoreGap {
+        let now = gateway.now();
+        let age = self.with(feed, |replica| replica.age(now));
+        let heartbeat = gateway.settings.borrow().bounds.server_heartbeat;
+        self.with_contact(feed, |contact| contact.record_read(now, age, heartbeat))
+    }
+
     /// Runs a closure with exclusive access to the replica of a table.
     pub(crate) fn with<T>(&self, feed: Feed, access: impl FnOnce(&mut TableReplica) -> T) -> T {
         let mut by_feed = self.by_feed.borrow_mut();
@@ -165,7 +202,7 @@
 /// Watches a table of the store whenever this VM is one of its watchers.
 pub(super) async fn watch_feed(gateway: Rc<Gateway>, feed: Feed) {
     let mut store = StoreClient::new(gateway.settings.borrow().store);
-    let mut health = StoreHealth::new(table_name(feed));
+    let mut health = StoreHealth::new(feed);
     let mut needs_snapshot = false;
     let mut response_log = ResponseLog::new(table_name(feed));
     let mut pacing = WatchPacing::new(rand::random());
@@ -175,18 +212,28 @@
             continue;
         }
         let sent_at = gateway.now();
-        let timeout = if health.is_failing() {
+        let age = gateway.replicas.with(feed, |replica| replica.age(sent_at));
+        let timeout = if gateway.replicas.is_failing(feed) || needs_read_at_once(age) {
             Duration::ZERO
         } else {
-            pacing.next_timeout(gateway.peers.live_count(sent_at) + 1)
+            let vms = gateway.peers.live_count(sent_at) + 1;
+            pacing.next_timeout(gateway.peers.watcher_rank(sent_at), vms)
         };
         gateway.update_store_address(&mut store);
-        match read_store(&gateway, &mut store, feed, timeout, needs_snapshot).await {
+        let read = read_with_checks(
+            &gateway,
+            &mut store,
+            &mut health,
+            feed,
+            timeout,
+            needs_snapshot,
+        )
+        .await;
+        let has_waited = !timeout.is_zero() && !read.is_check;
+        match read.result {
             Ok((rows, is_snapshot)) => {
                 let now = gateway.now();
-                let age = gateway.replicas.with(feed, |replica| replica.age(now));
-                let heartbeat = gateway.settings.borrow().bounds.server_heartbeat;
-                let gap = health.record_success(now, age, heartbeat);
+                let gap = health.record_success(&gateway, has_waited);
                 needs_snapshot = false;
                 let is_ignored = response_log.record_rows(&gateway, feed, &rows);
                 let vms = gateway.peers.live_count(now) + 1;
@@ -204,7 +251,7 @@
                 needs_snapshot = true;
                 response_log.record_unknown_version(&gateway, feed);
             }
-            Err(error) => health.back_off(sent_at, gateway.now(), &error).await,
+            Err(_) => health.back_off().await,
         }
     }
 }
@@ -268,7 +315,8 @@
         gateway.replicas.record_failed_fetch(feed);
         match read_store(&gateway, &mut store, feed, Duration::ZERO, false).await {
             Ok((rows, is_snapshot)) => {
-                apply_store_rows(&gateway, feed, rows, is_snapshot, StoreGap::None).await;
+                let gap = gateway.replicas.record_read(&gateway, feed);
+                apply_store_rows(&gateway, feed, rows, is_snapshot, gap).await;
             }
             Err(error) => {
                 log::debug!(
--- a/crates/verbenahinge/src/gateway/watch/row_changes.rs
+++ b/crates/verbenahinge/src/gateway/watch/row_changes.rs
@@ -55,7 +55,8 @@
     is_snapshot: bool,
     gap: StoreGap,
 ) {
-    let now = gateway.now();
+    // A response may have waited in its socket while the process stood still.
+    let now = gateway.arrival_time();
     let version = StoreVersion::new(rows.era, rows.version);
     let (base, age, removed_before) = gateway.replicas.with(feed, |replica| {
         let removed_before = replica.removed_before_copy(version);
