fix(gateway): 401 and 404 are given only by a configuration that is known to be recent

Cause: such a refusal became 503 only if a newer configuration was known to exist, and that is known only from the store or other VMs. A VM that heard from neither refused on its own word for as long as it was cut off.

Change: a request that matches nothing is matched again after the configuration was read from the store, if it was not confirmed within half of config_apply_ms; while it cannot be confirmed and is older than that time, the answer is 503 with Retry-After.

--- a/crates/verbenahinge/src/gateway/frontend.rs
+++ b/crates/verbenahinge/src/gateway/frontend.rs
@@ -10,7 +10,7 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Uri};
 use verbenahinge_core::gateway::{
-    Account, Call, RETRY_AFTER_MIN, Route, Routing, combine_priorities, retry_after,
+    Account, Call, Feed, RETRY_AFTER_MIN, Route, Routing, combine_priorities, retry_after,
 };
 use verbenahinge_core::hash::{hash64, mix64};
 use verbenahinge_platform::http_headers::{self, CallerHeaders};
@@ -85,7 +85,10 @@
             .and_then(|routing| match_route(routing, &parts.uri, &parts.headers, &caller))
     };
     drop(routing);
-    let matched = matched.or_else(|reason| match_newest(gateway, &parts, &caller, reason));
+    let matched = match matched {
+        Ok(matched) => Ok(matched),
+        Err(reason) => match_newest(gateway, &parts, &caller, reason).await,
+    };
     let matched = match matched {
         Ok(matched) => matched,
         Err(reason) => {
@@ -266,9 +269,9 @@
 /// Finds the route and account of a request that did not match when its head was read.
 ///
 /// Callers do not repeat a request after a 404 or 401, so neither is given for a configuration that this
-/// VM knows to be outdated.
-fn match_newest(
-    gateway: &Gateway,
+/// VM knows to be outdated, or that may have been for longer than a change takes to come into force.
+async fn match_newest(
+    gateway: &Rc<Gateway>,
     parts: &Parts,
     caller: &CallerHeaders,
     reason: RejectReason,
@@ -276,14 +279,26 @@
     if matches!(reason, RejectReason::HeadTooLarge) {
         return Err(reason);
     }
-    let routing = gateway.state.borrow().routing().cloned();
-    let Some(routing) = routing else {
-        return Err(reason);
+    let match_in_force = || {
+        let routing = gateway.state.borrow().routing().cloned();
+        let routing = routing.ok_or(RejectReason::Starting)?;
+        match_route(&routing, &parts.uri, &parts.headers, caller)
     };
-    match match_route(&routing, &parts.uri, &parts.headers, caller) {
-        Err(_) if watch::is_config_outdated(gateway) => Err(RejectReason::Outdated),
-        result => result,
+    let is_older_than =
+        |max_age: Duration| watch::config_age(gateway).is_none_or(|age| age > max_age);
+    let max_age = gateway.settings.borrow().bounds.config_apply;
+    let mut result = match_in_force();
+    // Half of the time, so that a flood of unknown requests costs the store few calls.
+    let has_config = !matches!(result, Err(RejectReason::Starting));
+    if result.is_err() && has_config && is_older_than(max_age / 2) {
+        watch::confirm(gateway, Feed::Config).await;
+        result = match_in_force();
+    }
+    let is_outdated = watch::is_config_outdated(gateway) || is_older_than(max_age);
+    if result.is_err() && has_config && is_outdated {
+        return Err(RejectReason::Outdated);
     }
+    result
 }
 
 /// Returns a hash of the path, the client account and the body of a request.
--- a/crates/verbenahinge/src/gateway/watch.rs
+++ b/crates/verbenahinge/src/gateway/watch.rs
@@ -2,6 +2,7 @@
 
 mod checked_read;
 mod config_changes;
+mod confirmation;
 mod response_log;
 mod row_changes;
 mod store_health;
@@ -27,6 +28,8 @@
 
 use self::checked_read::read_with_checks;
 use self::config_changes::apply_newer_config;
+use self::confirmation::Confirmations;
+pub(super) use self::confirmation::confirm;
 use self::response_log::ResponseLog;
 pub(super) use self::row_changes::apply_peer_delta;
 use self::row_changes::apply_store_rows;
@@ -84,6 +87,7 @@
     newer_config: RefCell<Option<NewerConfig>>,
     newer_config_notify: Notify,
     contacts: RefCell<BTreeMap<Feed, StoreContact>>,
+    confirmations: Confirmations,
 }
 
 impl Replicas {
@@ -99,6 +103,7 @@
             newer_config: RefCell::default(),
             newer_config_notify: Notify::new(),
             contacts: RefCell::default(),
+            confirmations: Confirmations::default(),
         }
     }
 
