fix(gateway): a failed fetch does not make a VM forget that it is behind

Cause: two seconds after a configuration could not be fetched from another VM, the announcement was dropped until a digest named it again, and in between the VM refused for good by its own version. Besides, a later digest with an older version replaced the newest one.

Change: the newest announced version is kept until it is in force or its VM is lost; a source that failed gives way to the next one that names a version.

--- a/crates/verbenahinge/src/gateway/peers.rs
+++ b/crates/verbenahinge/src/gateway/peers.rs
@@ -134,6 +134,12 @@
         self.members.borrow().live_addresses(now).count()
     }
 
+    /// Whether another VM is live.
+    pub(crate) fn is_live(&self, now: Timestamp, ip: IpAddr) -> bool {
+        let members = self.members.borrow();
+        members.live_addresses(now).any(|live| live == ip)
+    }
+
     /// Silence after which a VM counts as lost.
     pub(crate) fn lost_after(&self) -> Duration {
         self.members.borrow().lost_after()
--- a/crates/verbenahinge/src/gateway/watch.rs
+++ b/crates/verbenahinge/src/gateway/watch.rs
@@ -67,13 +67,6 @@
 /// Pause after a lookup of other VMs in the store.
 const LOOKUP_PAUSE: Duration = Duration::from_secs(3);
 
-/// Configuration of another VM that is newer than the one in force, by the operator's count.
-#[derive(Clone, Copy, Debug)]
-struct NewerConfig {
-    source: IpAddr,
-    version: ConfigVersion,
-}
-
 /// Replicas of all tables.
 pub(crate) struct Replicas {
     by_feed: RefCell<BTreeMap<Feed, TableReplica>>,
@@ -84,7 +77,8 @@
     config_in_force: RefCell<Option<Arc<[u8]>>>,
     /// Number of large configurations that are being decoded.
     decoding: Cell<usize>,
-    newer_config: RefCell<Option<NewerConfig>>,
+    /// Configuration that another VM has in force, by the operator's version.
+    newer_config: RefCell<Option<AnnouncedVersion>>,
     newer_config_notify: Notify,
     contacts: RefCell<BTreeMap<Feed, StoreContact>>,
     confirmations: Confirmations,
@@ -158,8 +152,11 @@
     /// Records that another VM has a newer configuration in force, and wakes the task that fetches
     /// it.
     pub(crate) fn note_newer_config(&self, source: IpAddr, version: ConfigVersion) {
+        let version = StoreVersion::from(version);
         self.newer_config
-            .replace(Some(NewerConfig { source, version }));
+            .borrow_mut()
+            .get_or_insert_with(|| AnnouncedVersion::new(source, version))
+            .announce(source, version);
         self.newer_config_notify.notify_waiters();
     }
 
@@ -346,26 +343,35 @@
         // A change of the table itself arrives by then.
         actix_rt::time::sleep(CONFIG_FETCH_DELAY + jitter(rand::random(), CONFIG_FETCH_DELAY))
             .await;
-        let Some(newer) = newer_config(&gateway) else {
+        let Some(source) = newer_config(&gateway) else {
             continue;
         };
         let patience = FetchPatience::WhileArriving;
-        let delta = peers::fetch_delta(&gateway, newer.source, Feed::Config, None, patience).await;
+        let delta = peers::fetch_delta(&gateway, source, Feed::Config, None, patience).await;
         match delta {
             Some(delta) => apply_newer_config(&gateway, &delta).await,
-            None => log::debug!("failed to fetch the configuration of {}", newer.source),
+            None => log::debug!("failed to fetch the configuration of {source}"),
         }
-        if newer_config(&gateway).is_some() {
-            // A later digest names the version again.
-            actix_rt::time::sleep(FAILED_FETCH_PAUSE).await;
+        if newer_config(&gateway) != Some(source) {
+            continue;
         }
-        gateway.replicas.newer_config.replace(None);
+        if let Some(newer) = gateway.replicas.newer_config.borrow_mut().as_mut() {
+            newer.record_failure();
+        }
+        actix_rt::time::sleep(FAILED_FETCH_PAUSE).await;
     }
 }
 
-fn newer_config(gateway: &Gateway) -> Option<NewerConfig> {
+/// VM that has a newer configuration in force and that this VM still hears from; forgets one that has been
+/// adopted, or whose VM is lost.
+fn newer_config(gateway: &Gateway) -> Option<IpAddr> {
     let newer = (*gateway.replicas.newer_config.borrow())?;
-    (newer.version > gateway.state.borrow().config_version()).then_some(newer)
+    let in_force = StoreVersion::from(gateway.state.borrow().config_version());
+    if newer.version() > in_force && gateway.peers.is_live(gateway.now(), newer.source()) {
+        return Some(newer.source());
+    }
+    gateway.replicas.newer_config.replace(None);
+    None
 }
 
 /// Time since the configuration was last known to be the newest; `None` before the first one.
--- a/crates/verbenahinge/tests/gateway_config.rs
+++ b/crates/verbenahinge/tests/gateway_config.rs
@@ -2,6 +2,7 @@
 //! older version never replaces a newer one.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use prost::Message as _;
 use tokio::net::UdpSocket;
@@ -125,6 +126,15 @@
     feeds: Vec<FeedVersion>,
 }
 
+/// Message that names the version of the configuration that a VM has in force, or none.
+#[derive(Clone, PartialEq, prost::Message)]
+struct ConfigMessage {
+    #[prost(fixed64, tag = "1")]
+    vm: u64,
+    #[prost(uint64, tag = "14")]
+    config_version: u64,
+}
+
 #[derive(Clone, PartialEq, prost::Message)]
 struct FeedVersion {
     #[prost(uint32, tag = "1")]
@@ -166,3 +176,35 @@
     let known = fleet.call(0, &second_account("r3")).await;
     assert_eq!(known.status, 200);
 }
+
+/// Guards against a VM that forgets, after a failed fetch, that another VM has a newer configuration, and
+/// refuses for good by its own.
+#[actix_rt::test]
+async fn failed_fetch_forgets_newer_config() {
+    /// More than the pause after a failed fetch, in messages.
+    const MESSAGES: u32 = 12;
+    let fleet = start(1).await;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    let vm: SocketAddr = fleet.peer_address(0);
+    let mut config_version = 1000;
+    for index in 0..MESSAGES {
+        let message = ConfigMessage {
+            vm: 77,
+            config_version,
+        };
+        socket
+            .send_to(&message.encode_to_vec(), vm)
+            .await
+            .expect("a datagram to the VM");
+        if index == 0 {
+            fleet
+                .wait_for_log(0, "name=table_fetch_failed table=1 address=127.0.0.1:")
+                .await;
+        }
+        let unknown_route = GatewayRequest::new(format!("r{index}"), "/nothing/x");
+        assert_eq!(fleet.call(0, &unknown_route).await.status, 503, "{index}");
+        // The other VM is live, and names the version only once.
+        config_version = 0;
+        actix_rt::time::sleep(Duration::from_millis(300)).await;
+    }
+}
