fix(gateway): a VM out of step does not continue a stream at the version that it knows

Cause: a VM concluded from the registry that a service has only ever had one version while its replica was at most six seconds old, and told other VMs so. A server of another version may have joined in that time.

Change: the registry is read first. The stream began before its caller came back, so a registry that is read from then on has its version, however long the VM was out of step; no age has to be chosen. VMs that are asked do the same before they answer, and name the versions of their tables. If the store does not answer, a VM relies on its replica only if all VMs that it asked have replied, none knows more and none has a newer registry.

--- a/crates/verbenahinge/src/gateway/peers/streams.rs
+++ b/crates/verbenahinge/src/gateway/peers/streams.rs
@@ -11,9 +11,10 @@
 use verbenahinge_core::Timestamp;
 use verbenahinge_core::gateway::{Feed, Route, SoftwareVersion, StreamId, StreamOrigin};
 
+use super::feeds::feed_versions;
 use super::send_to;
 use crate::gateway::peer_message::{MessageKind, PeerMessage, StreamMessage, StreamQueryMessage};
-use crate::gateway::{Gateway, stream_store};
+use crate::gateway::{Gateway, stream_store, watch};
 
 /// Time in which streams are collected before other VMs are told of them.
 const STREAM_PUSH_DELAY: Duration = Duration::from_millis(10);
@@ -25,8 +26,8 @@
 /// reply.
 const STREAM_QUERY_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Age of the registry's replica up to which a VM vouches for the versions of a service: a watch of the
-/// store, and a failed one.
+/// Age of the registry's replica up to which a VM that cannot ask the store relies on it, if no other VM has a
+/// newer one.
 const MAX_REPLICA_AGE: Duration = Duration::from_secs(6);
 
 /// Streams that are about to be told, and queries in flight.
@@ -120,36 +121,45 @@
     route: &Route,
     stream: Option<StreamId>,
 ) -> Option<SoftwareVersion> {
-    let known = local_version(gateway, route, stream);
-    if known.is_some() {
-        return known;
+    let told = told_version(gateway, stream);
+    if told.is_some() {
+        return told;
     }
-    if let Some(told) = query_origin(gateway, route, stream).await {
-        return Some(told.version);
+    // The stream began before its caller came back, so a registry that is read from now on has its version.
+    let is_confirmed = watch::confirm(gateway, Feed::Servers).await;
+    let sole = sole_version(gateway, route).filter(|_| is_confirmed);
+    if sole.is_some() {
+        return sole;
+    }
+    match query_origin(gateway, route, stream).await {
+        QueryResult::Found(origin) => return Some(origin.version),
+        QueryResult::Unknown if !is_confirmed && has_recent_registry(gateway) => {
+            let sole = sole_version(gateway, route);
+            if sole.is_some() {
+                return sole;
+            }
+        }
+        QueryResult::Unknown | QueryResult::Incomplete => {}
     }
     stream?;
     stream_store::refresh(gateway).await;
-    local_version(gateway, route, stream)
+    told_version(gateway, stream)
 }
 
-/// Version at which a stream began as far as this VM knows: by what it was told, or as the only version
-/// that the route's service had while the stream can have begun.
-fn local_version(
-    gateway: &Gateway,
-    route: &Route,
-    stream: Option<StreamId>,
-) -> Option<SoftwareVersion> {
-    let now = gateway.now();
+/// Version at which a stream began, if this VM was told.
+fn told_version(gateway: &Gateway, stream: Option<StreamId>) -> Option<SoftwareVersion> {
     let state = gateway.state.borrow();
-    let told = stream.and_then(|stream| state.stream_origins().version(stream));
-    told.or_else(|| {
-        let sole = state.sole_version(now, route);
-        sole.filter(|_| has_current_registry(gateway))
-    })
+    stream.and_then(|stream| state.stream_origins().version(stream))
+}
+
+/// The only version that the route's service had while a stream can have begun, by the replica of the registry.
+fn sole_version(gateway: &Gateway, route: &Route) -> Option<SoftwareVersion> {
+    let now = gateway.now();
+    gateway.state.borrow().sole_version(now, route)
 }
 
-/// Whether this VM would know of a version that has begun to serve.
-fn has_current_registry(gateway: &Gateway) -> bool {
+/// Whether the registry's replica is recent, and no other VM is known to have a newer one.
+fn has_recent_registry(gateway: &Gateway) -> bool {
     let now = gateway.now();
     let age = gateway
         .replicas
@@ -158,17 +168,27 @@
     is_recent && !gateway.replicas.is_behind(Feed::Servers)
 }
 
+/// What other VMs know of a stream.
+enum QueryResult {
+    /// One of them knows where it began.
+    Found(StreamOrigin),
+    /// All of them have replied, and none knows.
+    Unknown,
+    /// Not all of them have replied in time, or there are none.
+    Incomplete,
+}
+
 /// Asks the VMs that may know where a stream began, and waits until one tells or all have replied.
 async fn query_origin(
     gateway: &Rc<Gateway>,
     route: &Route,
     stream: Option<StreamId>,
-) -> Option<StreamOrigin> {
+) -> QueryResult {
     let peers = &gateway.peers;
     let key = stream.unwrap_or_else(rand::random);
     let holders = peers.members.borrow().holders(gateway.now(), key);
     if holders.is_empty() {
-        return None;
+        return QueryResult::Incomplete;
     }
     let query_id = peers.new_query_id();
     let (completion, completed) = oneshot::channel();
@@ -188,11 +208,14 @@
     send_to(gateway, MessageKind::StreamQuery, message, &holders).await;
     let reply = verbenahinge_http::timeout(STREAM_QUERY_TIMEOUT, completed).await;
     queries.borrow_mut().remove(&query_id);
-    if let Ok(Ok(origin)) = reply {
-        return origin;
+    match reply {
+        Ok(Ok(Some(origin))) => QueryResult::Found(origin),
+        Ok(Ok(None)) => QueryResult::Unknown,
+        Ok(Err(_)) | Err(_) => {
+            log::debug!("not all VMs have told in time where stream {key:016x} began");
+            QueryResult::Incomplete
+        }
     }
-    log::debug!("not all VMs have told in time where stream {key:016x} began");
-    None
 }
 
 /// Handles a message that tells where streams began, that asks for it, or that replies to a query.
@@ -218,32 +241,43 @@
         complete_query(gateway, query_id, origins.first().copied());
         return;
     };
-    let mut reply = stream_message(gateway);
-    reply.stream_query_id = query_id;
-    let origin = known_origin(gateway, query.stream, &query.services);
-    reply.streams = origin.into_iter().map(StreamMessage::from_origin).collect();
+    let query = query.clone();
     let gateway = Rc::clone(gateway);
     actix_rt::spawn(async move {
+        let origin = known_origin(&gateway, query.stream, &query.services).await;
+        let mut reply = stream_message(&gateway);
+        reply.stream_query_id = query_id;
+        reply.streams = origin.into_iter().map(StreamMessage::from_origin).collect();
+        // A VM whose registry is older has to know.
+        reply.feeds = feed_versions(&gateway);
         send_to(&gateway, MessageKind::StreamReply, reply, &[from]).await;
     });
 }
 
 /// Where a stream of a route with the given services began, as far as this VM knows.
-fn known_origin(
-    gateway: &Gateway,
+async fn known_origin(
+    gateway: &Rc<Gateway>,
     stream: Option<StreamId>,
     services: &[String],
 ) -> Option<StreamOrigin> {
-    let now = gateway.now();
-    let state = gateway.state.borrow();
-    let told = stream.and_then(|stream| state.stream_origins().origin(now, stream));
-    told.or_else(|| {
-        let [service] = services else {
-            return None;
-        };
-        let sole = state.sole_origin(now, service, stream.unwrap_or_default());
-        sole.filter(|_| has_current_registry(gateway))
-    })
+    let told = stream.and_then(|stream| {
+        let now = gateway.now();
+        gateway.state.borrow().stream_origins().origin(now, stream)
+    });
+    if told.is_some() {
+        return told;
+    }
+    let [service] = services else {
+        return None;
+    };
+    let sole_origin = || {
+        let now = gateway.now();
+        let state = gateway.state.borrow();
+        state.sole_origin(now, service, stream.unwrap_or_default())
+    };
+    sole_origin()?;
+    let is_confirmed = watch::confirm(gateway, Feed::Servers).await;
+    sole_origin().filter(|_| is_confirmed)
 }
 
 fn complete_query(gateway: &Gateway, query_id: u64, origin: Option<StreamOrigin>) {
