fix(gateway): requests are not taken late in a short grace period

Reported by other operators: requests that came late in the grace of a planned stop were passed on and cut off at its end (LOST). With the grace of 8 s of the deployments this cannot happen here: requests are refused from 2.6 s on, and what is still running gets its final answer 0.6 s before the end (late_requests_refused, shutdown_answers_nothing, shutdown_cuts_slow_requests).

It could where the grace is shorter than 2.6 s, which no check forbids: the VM took requests until it was killed. It takes them for half of the grace period at most.

Evidence: short_grace_cuts_requests (grace of 2 s, a request after 1.3 s) failed before: the request ran and got no answer.

--- a/crates/verbenahinge/src/gateway/shutdown.rs
+++ b/crates/verbenahinge/src/gateway/shutdown.rs
@@ -36,11 +36,12 @@
         ("in_flight", &gateway.requests_in_flight.get()),
     ]);
     peers::announce_shutdown(gateway).await;
-    actix_rt::time::sleep(READINESS_DELAY).await;
-    // From here on, new requests are refused and connections close.
+    let grace = gateway.settings.borrow().bounds.shutdown_grace;
+    actix_rt::time::sleep(READINESS_DELAY.min(grace / 2)).await;
+    // From here on, new requests are refused and connections close, so that those that were taken have
+    // half of the grace period at least.
     gateway.is_closing.set(true);
     gateway.close_notify.notify_waiters();
-    let grace = gateway.settings.borrow().bounds.shutdown_grace;
     let deadline = started_at + grace.saturating_sub(EXIT_MARGIN);
     let final_response_at = deadline.saturating_sub(FINAL_RESPONSE_MARGIN);
     wait_for_callers(gateway, final_response_at).await;
