fix(gateway): bytes of a server that bring a response no further are limited

Reported by other operators: a faulty worker's bytes without end filled the memory of the VM that had called it. Memory holds here (endless_answers), but two kinds were read for as long as the caller waited, and the one thread of the VM did little else: interim responses, and the size line of a chunk.

Cause: bodies, events and heads are limited by what is kept of them; of these bytes nothing is kept. Class: work that is bounded by its result and not by its input.

Change: a connection to a server or another VM fails once it has read 256 KiB in a row without a response head or data of a body. That covers trailers and chunk extensions, too. The attempt counts as malformed: the server may have run the request, and is not taken for crashed. The buffer of a connection, and so the head of a response, is limited to 128 KiB (408 KiB by default).

Evidence: endless_interim_responses and endless_chunk_size failed before: 192 and 232 MB were read of one response, within two seconds; 32 MB are allowed with what the sockets hold.

--- a/crates/verbenahinge/src/event_log.rs
+++ b/crates/verbenahinge/src/event_log.rs
@@ -78,6 +78,8 @@
     ServersReached = 413,
     /// Servers of a service have become brittle, or no longer are.
     ServersBrittle = 414,
+    /// A server sent bytes that bring a response no further.
+    ResponseEndless = 415,
     /// A request or a prompt part is blamed for crashes of servers.
     CrashBlamed = 420,
     /// A request or a prompt part is no longer blamed for crashes.
@@ -185,6 +187,7 @@
             | Self::DigestUnreadable
             | Self::ServerEjected
             | Self::ServersUnreached
+            | Self::ResponseEndless
             | Self::RequestQuarantined
             | Self::StreamMoveLost
             | Self::DutiesOff
--- a/crates/verbenahinge/src/gateway.rs
+++ b/crates/verbenahinge/src/gateway.rs
@@ -19,6 +19,7 @@
 mod crash_store;
 mod duties;
 mod event_splitter;
+mod framing_limit;
 mod frontend;
 mod metrics;
 mod peer_message;
--- a/crates/verbenahinge/src/gateway/attempt.rs
+++ b/crates/verbenahinge/src/gateway/attempt.rs
@@ -6,7 +6,8 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming};
+use hyper::client::conn::TrySendError;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use verbenahinge_core::gateway::{
@@ -66,6 +67,46 @@
             .any(|name| self.headers.contains_key(name));
         !is_framed && !self.body.is_end_stream()
     }
+
+    /// Waits for the next data of the body; `None` after its end. Dropping the future loses no data.
+    pub(crate) async fn next_data(&mut self) -> Result<Option<Bytes>, FailureKind> {
+        while let Some(frame) = self.body.frame().await {
+            let limit = self.connection.framing_limit();
+            match frame.map(Frame::into_data) {
+                Ok(Ok(data)) => {
+                    if !data.is_empty() {
+                        limit.reset();
+                    }
+                    return Ok(Some(data));
+                }
+                Ok(Err(_trailers)) => {}
+                Err(_) if limit.is_exceeded() => {
+                    log_endless(self.connection.server());
+                    return Err(FailureKind::Malformed);
+                }
+                Err(_) => return Err(FailureKind::ConnectionLost),
+            }
+        }
+        Ok(None)
+    }
+}
+
+/// Why the head of a response was not received.
+fn failure_kind<T>(error: &TrySendError<T>, connection: &PooledConnection) -> FailureKind {
+    if connection.framing_limit().is_exceeded() {
+        log_endless(connection.server());
+        FailureKind::Malformed
+    } else if error.message().is_some() {
+        FailureKind::ConnectFailed
+    } else if error.error().is_parse() {
+        FailureKind::Malformed
+    } else {
+        FailureKind::ConnectionLost
+    }
+}
+
+fn log_endless(server: &ServerName) {
+    LogEvent::ResponseEndless.log(&[("server", server)]);
 }
 
 /// Response of a backend server with its complete body.
@@ -190,10 +231,11 @@
             let Some(sender) = connection.sender() else {
                 return Err(failed(FailureKind::ConnectFailed));
             };
+            let response = sender.try_send_request(outgoing);
+            connection.framing_limit().reset();
             let sent_at = self.now();
             let timeout = deadline.saturating_sub(sent_at);
-            let result =
-                verbenahinge_http::timeout(timeout, sender.try_send_request(outgoing)).await;
+            let result = verbenahinge_http::timeout(timeout, response).await;
             let response = match result {
                 Err(_) => return Err(AttemptError::TimeUp),
                 Ok(Ok(response)) => response,
@@ -202,22 +244,17 @@
                         needs_new_connection = true;
                         continue;
                     }
-                    if is_new && !error.error().is_parse() {
+                    let kind = failure_kind(&error, &connection);
+                    if is_new && kind != FailureKind::Malformed {
                         reach::note_failed(self, &entry);
                     }
-                    let kind = if error.message().is_some() {
-                        FailureKind::ConnectFailed
-                    } else if error.error().is_parse() {
-                        FailureKind::Malformed
-                    } else {
-                        FailureKind::ConnectionLost
-                    };
                     return Err(failed(kind));
                 }
             };
             if is_new {
                 reach::note_answered(self, &entry.service);
             }
+            connection.framing_limit().reset();
             let (parts, body) = response.into_parts();
             let head = http_headers::decode_server_response(parts.status.as_u16(), &parts.headers);
             self.record_head(&entry, sent_at, &head);
@@ -308,13 +345,10 @@
         }
     }
 
-    async fn read_body(&self, mut body: Incoming) -> Result<Bytes, AttemptError> {
+    async fn read_body(&self, response: &mut OpenResponse) -> Result<Bytes, AttemptError> {
         let mut buffer = ResponseBuffer::new(self);
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|_| AttemptError::Failed(FailureKind::ConnectionLost))?;
-            if let Ok(data) = frame.into_data()
-                && !buffer.push(&data)
-            {
+        while let Some(data) = response.next_data().await.map_err(AttemptError::Failed)? {
+            if !buffer.push(&data) {
                 return Err(AttemptError::Failed(FailureKind::Malformed));
             }
         }
@@ -324,10 +358,10 @@
     /// Reads the body of a response and returns its connection to the pool.
     pub(crate) async fn buffer_response(
         &self,
-        response: OpenResponse,
+        mut response: OpenResponse,
         deadline: Timestamp,
     ) -> Result<BufferedResponse, AttemptError> {
-        let body = self.read_body(response.body);
+        let body = self.read_body(&mut response);
         let timeout = deadline.saturating_sub(self.now());
         let body = match verbenahinge_http::timeout(timeout, body).await {
             Ok(body) => body?,
--- a/crates/verbenahinge/src/gateway/connection_pool.rs
+++ b/crates/verbenahinge/src/gateway/connection_pool.rs
@@ -18,6 +18,8 @@
 use hyper_util::rt::TokioIo;
 use verbenahinge_core::ServerName;
 
+use super::framing_limit::{FramingLimit, LimitedStream, MAX_BUFFER_BYTES};
+
 /// Time within which a backend server must accept a connection; the network takes a few
 /// milliseconds, and a lost SYN packet is retransmitted only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -42,6 +44,7 @@
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    framing_limit: Rc<FramingLimit>,
     expires_at: Instant,
 }
 
@@ -59,6 +62,7 @@
     address: SocketAddr,
     sender: Option<SendRequest<Full<Bytes>>>,
     driver: Option<JoinHandle<()>>,
+    framing_limit: Rc<FramingLimit>,
     is_new: bool,
 }
 
@@ -84,6 +88,7 @@
                 address,
                 sender: Some(idle.sender),
                 driver: Some(idle.driver),
+                framing_limit: idle.framing_limit,
                 is_new: false,
             };
             if connection.wait_ready().await {
@@ -102,7 +107,10 @@
         let stream = verbenahinge_http::connect_from(self.source, address, CONNECT_TIMEOUT).await?;
         // Closing the connection drops what the link has not taken yet: nobody waits for it any more.
         stream.set_zero_linger()?;
+        let framing_limit = Rc::new(FramingLimit::default());
+        let stream = LimitedStream::new(stream, Rc::clone(&framing_limit));
         let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
@@ -117,6 +125,7 @@
             address,
             sender: Some(sender),
             driver: Some(driver),
+            framing_limit,
             is_new: true,
         })
     }
@@ -163,6 +172,16 @@
         self.sender.as_mut()
     }
 
+    /// Server that the connection leads to.
+    pub(super) const fn server(&self) -> &ServerName {
+        &self.server
+    }
+
+    /// Limit on the bytes of the connection that bring nothing.
+    pub(super) fn framing_limit(&self) -> &FramingLimit {
+        &self.framing_limit
+    }
+
     /// Whether the server keeps a connection that carries no request yet: servers that take no more
     /// connections, and networks that cut a VM off, reset it at once.
     pub(crate) async fn is_kept(&mut self) -> bool {
@@ -203,6 +222,7 @@
         list.push(IdleConnection {
             sender,
             driver,
+            framing_limit: Rc::clone(&self.framing_limit),
             expires_at,
         });
     }
--- a/crates/verbenahinge/src/gateway/peer_relay.rs
+++ b/crates/verbenahinge/src/gateway/peer_relay.rs
@@ -156,10 +156,12 @@
             let timeout = self.response_deadline().saturating_sub(gateway.now());
             let outgoing = self.relayed_request();
             self.note_relayed();
-            let sent = verbenahinge_http::timeout(timeout, sender.try_send_request(outgoing)).await;
-            match sent {
+            let response = sender.try_send_request(outgoing);
+            connection.framing_limit().reset();
+            match verbenahinge_http::timeout(timeout, response).await {
                 Err(_) => return Err(RelayError::Lost(AttemptError::TimeUp)),
                 Ok(Ok(response)) => {
+                    connection.framing_limit().reset();
                     return Ok(RelayedResponse {
                         response,
                         connection,
@@ -224,10 +226,11 @@
     async fn next_chunk(&mut self) -> Option<Result<Bytes, IncompleteResponse>> {
         loop {
             // `None` after an error, which ends the body.
-            self.connection.as_ref()?;
+            let connection = self.connection.as_ref()?;
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
+                        connection.framing_limit().reset();
                         return Some(Ok(data));
                     }
                 }
--- a/crates/verbenahinge/src/gateway/server_stream.rs
+++ b/crates/verbenahinge/src/gateway/server_stream.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::{HeaderMap, StatusCode};
 use verbenahinge_core::gateway::SoftwareVersion;
 use verbenahinge_core::{FailureKind, ServerName, Timestamp};
@@ -116,16 +115,14 @@
             if until_silent.is_zero() {
                 return Err(AttemptError::Failed(FailureKind::Silent));
             }
-            let frame = self.response.body.frame();
-            match verbenahinge_http::timeout(until_deadline.min(until_silent), frame).await {
-                Ok(Some(Ok(frame))) => {
+            let data = self.response.next_data();
+            match verbenahinge_http::timeout(until_deadline.min(until_silent), data).await {
+                Ok(Ok(Some(data))) => {
                     self.note_progress();
-                    if let Ok(data) = frame.into_data() {
-                        return Ok(Some(data));
-                    }
+                    return Ok(Some(data));
                 }
-                Ok(Some(Err(_))) => return Err(AttemptError::Failed(FailureKind::ConnectionLost)),
-                Ok(None) => return Ok(None),
+                Ok(Ok(None)) => return Ok(None),
+                Ok(Err(kind)) => return Err(AttemptError::Failed(kind)),
                 Err(_) => {}
             }
         }
