fix(gateway): taking the last API key away lets nobody in

Cause: whether a configuration asks for a key was decided by whether one was left. Class: an empty set taken for an absent one, where absence means "no check".

Event 205 when such a configuration comes into force.

--- a/crates/verbenahinge-core/src/gateway/routing.rs
+++ b/crates/verbenahinge-core/src/gateway/routing.rs
@@ -182,6 +182,7 @@
     pub limits: Option<CallerLimits>,
     hosts: BTreeMap<String, BTreeMap<String, Arc<Route>>>,
     accounts_by_key: BTreeMap<String, Arc<Account>>,
+    requires_keys: bool,
     route_priorities: BTreeSet<u8>,
     account_priorities: BTreeSet<Option<u8>>,
     longest_timeout: Duration,
@@ -219,6 +220,17 @@
             .insert(prefix.to_owned(), Arc::new(route));
     }
 
+    /// Has routes that are not public require an API key, also if no key is configured.
+    pub const fn require_keys(&mut self) {
+        self.requires_keys = true;
+    }
+
+    /// Number of API keys.
+    #[must_use]
+    pub fn key_count(&self) -> usize {
+        self.accounts_by_key.len()
+    }
+
     /// Adds an API key of a client account.
     pub fn add_key(&mut self, key: &str, account: Arc<Account>) {
         self.account_priorities.insert(account.priority);
@@ -281,10 +293,12 @@
         !self.hosts.is_empty() || !self.accounts_by_key.is_empty()
     }
 
-    /// Whether any API key is configured; without one, no route needs a key.
+    /// Whether the configuration has client accounts, so that routes that are not public need an API key.
+    ///
+    /// Accounts whose last key was taken away still count: nobody may send requests then.
     #[must_use]
     pub fn has_accounts(&self) -> bool {
-        !self.accounts_by_key.is_empty()
+        self.requires_keys || !self.accounts_by_key.is_empty()
     }
 
     /// Finds the route with the longest matching path prefix, by one lookup per slash in the path.
--- a/crates/verbenahinge/src/event_log.rs
+++ b/crates/verbenahinge/src/event_log.rs
@@ -39,6 +39,8 @@
     ConfigUnreadable = 203,
     /// A configuration was older than the one in force, which stays.
     ConfigOutdated = 204,
+    /// A configuration with client accounts and without API keys came into force.
+    ConfigWithoutKeys = 205,
     /// The platform does not respond.
     PlatformUnavailable = 300,
     /// The platform responds again.
@@ -181,6 +183,7 @@
             | Self::ThreadHeld
             | Self::ConfigUnreadable
             | Self::ConfigOutdated
+            | Self::ConfigWithoutKeys
             | Self::ServerUnreadable
             | Self::ServerCrashed
             | Self::CrashBlamed
--- a/crates/verbenahinge/src/gateway/watch/config_changes.rs
+++ b/crates/verbenahinge/src/gateway/watch/config_changes.rs
@@ -137,6 +137,7 @@
     };
     let version = decoded.routing.version;
     let routes = decoded.routing.route_count();
+    let is_closed = decoded.routing.has_accounts() && decoded.routing.key_count() == 0;
     let limits = decoded.routing.limits;
     let in_force = gateway.state.borrow().config_version();
     let started = Instant::now();
@@ -172,6 +173,9 @@
         ("decode_us", &decoded.decode_time.as_micros()),
         ("adopt_us", &adopt_time.as_micros()),
     ]);
+    if is_closed {
+        LogEvent::ConfigWithoutKeys.log(&[("version", &version)]);
+    }
     replaced
 }
 
--- a/crates/verbenahinge/tests/gateway_config.rs
+++ b/crates/verbenahinge/tests/gateway_config.rs
@@ -208,3 +208,40 @@
         actix_rt::time::sleep(Duration::from_millis(300)).await;
     }
 }
+
+/// Guards against a configuration that lets everybody in once the last API key is taken away.
+#[actix_rt::test]
+async fn last_key_removed_opens_routes() {
+    let fleet = start(1).await;
+    let accounts = [
+        "\"api_keys\": []",
+        "\"api_keys\": [\"key-one\"]",
+        "\"tenants\": []",
+    ];
+    for (version, accounts) in (8..).zip(accounts) {
+        let config = config_with_version(version);
+        let (routes, rest) = config
+            .split_once("\"tenants\"")
+            .expect("a configuration with accounts");
+        let rest = if accounts.contains("tenants") {
+            format!("{accounts}}}")
+        } else {
+            let second = "\"api_keys\": [\"key-two\"]";
+            let rest = rest.replace(second, "\"api_keys\": []");
+            let rest = rest.replace("\"api_keys\": [\"key-one\"]", accounts);
+            format!("\"tenants\"{rest}")
+        };
+        fleet.write_config(&format!("{routes}{rest}")).await;
+        fleet
+            .wait_for_log(0, &format!("name=config_in_force version={version} "))
+            .await;
+        for key in ["key-two", "never-held", ""] {
+            let id = format!("r{version}-{key}");
+            let request = GatewayRequest::new(&id, "/read/x").api_key(key);
+            assert_eq!(fleet.call(0, &request).await.status, 401, "{id}");
+            assert!(fleet.runs_of_request(&id).await.is_empty(), "{id}");
+        }
+        let public = GatewayRequest::new(format!("p{version}"), "/open/x");
+        assert_eq!(fleet.call(0, &public).await.status, 200);
+    }
+}
