fix(gateway): servers that are lost together do not have a sound request refused

Cause: for requests without a prompt, two crashes were enough at whatever distance, and an answer cleared a crash only if it came 50 ms after it; the next server answers sooner.

Change: crashes within 100 ms count once for them, too, in the blame and in the decision on a retry, as they do for prompts. An answer to a request that was sent after a crash clears it, however soon it comes. The margin stays for requests that were sent before.

Open (docs/design/crash-records.md): a way back for a request that is blamed wrongly by crashes further apart.

--- a/crates/verbenahinge-core/src/gateway/crash_evidence.rs
+++ b/crates/verbenahinge-core/src/gateway/crash_evidence.rs
@@ -24,8 +24,8 @@
 /// Maximum number of crashes of a record that are told to other VMs, and as many refuted ones.
 const MAX_TOLD_CRASHES: usize = 6;
 
-/// Time by which a success must be later than a crash to refute it: the response may have been under
-/// way when the server crashed.
+/// Time by which the success of a request that was sent before a crash must be later than the crash to refute it:
+/// the response may have been under way when the server crashed.
 const REFUTE_MARGIN: Duration = Duration::from_millis(50);
 
 /// Time for which successes are remembered, since a crash is heard of later than it happens.
@@ -47,6 +47,21 @@
     is_on_probation: bool,
 }
 
+/// Success of a suspect.
+#[derive(Clone, Copy, Debug, Default)]
+struct Success {
+    at: Timestamp,
+    /// Time at which the request was sent to the server that answered.
+    sent_at: Timestamp,
+}
+
+impl Success {
+    /// Whether the success shows that the suspect has not caused a crash.
+    fn refutes(self, crashed_at: Timestamp) -> bool {
+        self.sent_at > crashed_at || self.at > crashed_at + REFUTE_MARGIN
+    }
+}
+
 /// Crashes of backend servers by suspect, and the successes that refute them.
 #[derive(Clone, Debug, Default)]
 pub(super) struct CrashEvidence {
@@ -54,7 +69,7 @@
     /// When each crash happened, as far as known.
     crashed_at: BTreeMap<CrashId, Timestamp>,
     /// Latest success of each suspect within the last moments.
-    succeeded_at: BTreeMap<Fingerprint, Timestamp>,
+    successes: BTreeMap<Fingerprint, Success>,
     /// Parts with which requests have succeeded.
     sound_parts: SoundParts,
 }
@@ -80,20 +95,28 @@
         }
         record.crashes.insert(crash);
         record.updated_at = record.updated_at.max(at);
-        let success = self.succeeded_at.get(&suspect.fingerprint);
-        if success.is_some_and(|&success| success > crashed_at + REFUTE_MARGIN) {
+        let success = self.successes.get(&suspect.fingerprint);
+        if success.is_some_and(|success| success.refutes(crashed_at)) {
             record.refuted.insert(crash);
             record.untold.insert(crash);
         }
         true
     }
 
-    /// Records a success of requests with a suspect; returns whether it refutes a crash.
-    pub(super) fn add_success(&mut self, now: Timestamp, suspect: Suspect) -> bool {
-        if self.succeeded_at.len() < MAX_SUCCESSES
-            || self.succeeded_at.contains_key(&suspect.fingerprint)
+    /// Records a success of a request with a suspect that was sent to its server at `sent_at`; returns whether
+    /// it refutes a crash.
+    pub(super) fn add_success(
+        &mut self,
+        now: Timestamp,
+        sent_at: Timestamp,
+        suspect: Suspect,
+    ) -> bool {
+        let success = Success { at: now, sent_at };
+        if self.successes.len() < MAX_SUCCESSES || self.successes.contains_key(&suspect.fingerprint)
         {
-            self.succeeded_at.insert(suspect.fingerprint, now);
+            let latest = self.successes.entry(suspect.fingerprint).or_default();
+            latest.at = latest.at.max(now);
+            latest.sent_at = latest.sent_at.max(sent_at);
         }
         if suspect.scope.is_part() {
             self.sound_parts.insert(suspect.fingerprint);
@@ -104,7 +127,7 @@
         let mut refuted = Vec::new();
         for &crash in record.crashes.difference(&record.refuted) {
             let crashed_at = self.crashed_at.get(&crash).copied().unwrap_or_default();
-            if now > crashed_at + REFUTE_MARGIN {
+            if success.refutes(crashed_at) {
                 refuted.push(crash);
             }
         }
@@ -220,8 +243,8 @@
         now: Timestamp,
         is_blamed: impl Fn(Fingerprint) -> bool,
     ) -> bool {
-        self.succeeded_at
-            .retain(|_, &mut at| at + SUCCESS_MEMORY > now);
+        self.successes
+            .retain(|_, success| success.at + SUCCESS_MEMORY > now);
         let mut has_changed = false;
         let crashed_at = &self.crashed_at;
         self.records.retain(|&fingerprint, record| {
--- a/crates/verbenahinge-core/src/gateway/crash_guard.rs
+++ b/crates/verbenahinge-core/src/gateway/crash_guard.rs
@@ -70,13 +70,18 @@
         has_new
     }
 
-    /// Records that a request with these suspects has begun its response or ended well; returns the
-    /// suspects that this clears of a crash and that were close to a refusal.
-    pub fn note_success(&mut self, now: Timestamp, suspects: &[Suspect]) -> Vec<Fingerprint> {
+    /// Records that a request with these suspects, sent to its server at `sent_at`, has begun its response or
+    /// ended well; returns the suspects that this clears of a crash and that were close to a refusal.
+    pub fn note_success(
+        &mut self,
+        now: Timestamp,
+        sent_at: Timestamp,
+        suspects: &[Suspect],
+    ) -> Vec<Fingerprint> {
         let mut cleared = Vec::new();
         let mut has_cleared = false;
         for &suspect in suspects {
-            if !self.evidence.add_success(now, suspect) {
+            if !self.evidence.add_success(now, sent_at, suspect) {
                 continue;
             }
             has_cleared = true;
@@ -175,17 +180,17 @@
                 return true;
             };
             let open = self.evidence.open_crashes(record);
+            let moments = || count_moments(open.iter().map(|&(at, _)| at));
             match suspect.scope {
                 SuspectScope::Request if kind == FailureKind::ConnectionLost => open.is_empty(),
-                SuspectScope::Request => open.len() < QUARANTINE_CRASHES,
+                SuspectScope::Request => moments() < QUARANTINE_CRASHES,
                 SuspectScope::Stream => {
                     kind != FailureKind::ConnectionLost || open.len() < QUARANTINE_CRASHES
                 }
                 SuspectScope::Prompt
                 | SuspectScope::Part { .. }
                 | SuspectScope::PartOfAnyModel { .. } => {
-                    kind != FailureKind::ConnectionLost
-                        || count_moments(open.into_iter().map(|(at, _)| at)) < QUARANTINE_CRASHES
+                    kind != FailureKind::ConnectionLost || moments() < QUARANTINE_CRASHES
                 }
             }
         })
--- a/crates/verbenahinge-core/src/gateway/state/crashes.rs
+++ b/crates/verbenahinge-core/src/gateway/state/crashes.rs
@@ -23,10 +23,15 @@
         self.crash_guard.note_crash(at, crash, suspects)
     }
 
-    /// Records that a request with these suspects has begun its response or ended well; returns the
-    /// suspects that this clears of a crash.
-    pub fn note_success(&mut self, now: Timestamp, suspects: &[Suspect]) -> Vec<Fingerprint> {
-        self.crash_guard.note_success(now, suspects)
+    /// Records that a request with these suspects, sent to its server at `sent_at`, has begun its response or
+    /// ended well; returns the suspects that this clears of a crash.
+    pub fn note_success(
+        &mut self,
+        now: Timestamp,
+        sent_at: Timestamp,
+        suspects: &[Suspect],
+    ) -> Vec<Fingerprint> {
+        self.crash_guard.note_success(now, sent_at, suspects)
     }
 
     /// Suspects and those of them that are blamed.
--- a/crates/verbenahinge-core/tests/deadly_models.rs
+++ b/crates/verbenahinge-core/tests/deadly_models.rs
@@ -5,6 +5,9 @@
 use verbenahinge_core::Timestamp;
 use verbenahinge_core::gateway::{CrashGuard, Prompt, PromptPart, Suspect};
 
+/// Time at which requests were sent that prove nothing by when they were sent.
+const BEFORE_CRASHES: Duration = Duration::ZERO;
+
 const START: Duration = Duration::from_secs(100);
 
 /// Time after which a blamed part is refused for certain.
@@ -65,6 +68,7 @@
         }
         guard.note_success(
             at(ms + 100),
+            BEFORE_CRASHES,
             &prompt_of(100 + request, model, &[FIRST, SOUND]),
         );
     }
--- a/crates/verbenahinge-core/tests/deadly_parts.rs
+++ b/crates/verbenahinge-core/tests/deadly_parts.rs
@@ -5,6 +5,9 @@
 use verbenahinge_core::gateway::{CrashGuard, CrashRecord, Prompt, PromptPart, Suspect};
 use verbenahinge_core::{FailureKind, Timestamp};
 
+/// Time at which requests were sent that prove nothing by when they were sent.
+const BEFORE_CRASHES: Duration = Duration::ZERO;
+
 const START: Duration = Duration::from_secs(100);
 
 /// Time after which a blamed part is refused for certain.
@@ -120,7 +123,11 @@
         let mut waiting = prompt(crash, &[FIRST, deadly]);
         waiting.extend(prompt(100 + crash, &[FIRST, SOUND + crash / 2]));
         guard.note_crash(at(500 * crash), crash, &waiting);
-        guard.note_success(at(500 * crash + 200), &prompt(200, &[FIRST]));
+        guard.note_success(
+            at(500 * crash + 200),
+            BEFORE_CRASHES,
+            &prompt(200, &[FIRST]),
+        );
     }
     let now = at(6000) + SETTLED;
     for deadly in 50..54 {
@@ -147,7 +154,11 @@
     let mut guard = CrashGuard::new();
     for crash in 0..6 {
         guard.note_crash(at(300 * crash), crash, &prompt(crash, &[FIRST, SOUND]));
-        guard.note_success(at(300 * crash + 150), &prompt(50 + crash, &[FIRST, SOUND]));
+        guard.note_success(
+            at(300 * crash + 150),
+            BEFORE_CRASHES,
+            &prompt(50 + crash, &[FIRST, SOUND]),
+        );
         for ms in 0..300 {
             assert!(!refuses(&guard, at(300 * crash + ms), &[FIRST, SOUND]));
         }
@@ -170,7 +181,7 @@
 fn earlier_success_clears() {
     let mut guard = CrashGuard::new();
     guard.note_crash(at(0), 1, &prompt(1, &[FIRST, DEADLY]));
-    guard.note_success(at(20), &prompt(50, &[FIRST, DEADLY]));
+    guard.note_success(at(20), BEFORE_CRASHES, &prompt(50, &[FIRST, DEADLY]));
     guard.note_crash(at(1000), 2, &prompt(2, &[FIRST, DEADLY]));
     assert!(refuses(&guard, at(1000) + SETTLED, &[FIRST, DEADLY]));
 }
@@ -184,7 +195,7 @@
     }
     let now = at(1000) + SETTLED;
     assert!(refuses(&guard, now, &[SOUND]));
-    let cleared = guard.note_success(now, &prompt(50, &[SOUND]));
+    let cleared = guard.note_success(now, BEFORE_CRASHES, &prompt(50, &[SOUND]));
     let suspects = prompt(0, &[SOUND]);
     assert_eq!(
         cleared,
@@ -201,12 +212,12 @@
     let mut guard = CrashGuard::new();
     let ping = [Suspect::request(5)];
     guard.note_crash(at(0), 1, &ping);
-    guard.note_success(at(500), &ping);
+    guard.note_success(at(500), BEFORE_CRASHES, &ping);
     guard.note_crash(at(9000), 2, &ping);
     assert_eq!(guard.refusal(at(9001), &ping), None);
     guard.note_crash(at(9100), 3, &ping);
     assert!(guard.refusal(at(9101), &ping).is_some());
-    guard.note_success(at(9300), &ping);
+    guard.note_success(at(9300), BEFORE_CRASHES, &ping);
     assert_eq!(guard.refusal(at(9301), &ping), None);
 }
 
@@ -217,7 +228,7 @@
     for crash in 0..2 {
         finder.note_crash(at(1000 * crash), crash, &prompt(crash, &[FIRST, SOUND]));
     }
-    other.note_success(at(1070), &prompt(50, &[FIRST, SOUND]));
+    other.note_success(at(1070), BEFORE_CRASHES, &prompt(50, &[FIRST, SOUND]));
     copy(at(1090), &finder, &mut other);
     assert!(other.has_untold());
     let news = other.take_news(at(1100));
@@ -234,7 +245,7 @@
     let mut guard = CrashGuard::new();
     guard.note_crash(at(0), 1, &prompt(1, &[SOUND]));
     guard.take_news(at(70));
-    guard.note_success(at(200), &prompt(2, &[SOUND]));
+    guard.note_success(at(200), BEFORE_CRASHES, &prompt(2, &[SOUND]));
     assert!(!guard.has_untold());
     guard.note_crash(at(300), 2, &prompt(3, &[SOUND]));
     assert!(guard.has_untold());
@@ -248,7 +259,7 @@
         guard.note_crash(at(1000 * crash), crash, &prompt(crash, &[SOUND]));
     }
     let older = guard.recent_records(at(1100));
-    guard.note_success(at(1200), &prompt(50, &[SOUND]));
+    guard.note_success(at(1200), BEFORE_CRASHES, &prompt(50, &[SOUND]));
     let newer = guard.recent_records(at(1300));
     let merged_in = |order: [&[CrashRecord]; 2]| {
         let mut other = CrashGuard::new();
@@ -267,11 +278,11 @@
 fn part_becomes_deadly() {
     let mut guard = CrashGuard::new();
     for ms in 0..50 {
-        guard.note_success(at(100 * ms), &prompt(ms, &[FIRST, DEADLY]));
+        guard.note_success(at(100 * ms), BEFORE_CRASHES, &prompt(ms, &[FIRST, DEADLY]));
     }
     guard.note_crash(at(5000), 1, &prompt(101, &[FIRST, DEADLY]));
     guard.note_crash(at(5300), 2, &prompt(102, &[FIRST, DEADLY]));
-    guard.note_success(at(5400), &prompt(103, &[FIRST, SOUND]));
+    guard.note_success(at(5400), BEFORE_CRASHES, &prompt(103, &[FIRST, SOUND]));
     let now = at(5300) + SETTLED;
     assert!(refuses(&guard, now, &[FIRST, DEADLY]));
     assert!(!refuses(&guard, now, &[FIRST, SOUND]));
@@ -314,7 +325,7 @@
     for guard in [&mut guard, &mut other] {
         guard.expire(later);
     }
-    guard.note_success(later, &prompt(5, &[SOUND]));
+    guard.note_success(later, BEFORE_CRASHES, &prompt(5, &[SOUND]));
     other.merge(later, &guard.take_news(later));
     for guard in [&guard, &other] {
         assert_eq!(count_running(guard, later, &[SOUND]), 1000);
--- a/crates/verbenahinge-core/tests/part_trials.rs
+++ b/crates/verbenahinge-core/tests/part_trials.rs
@@ -5,6 +5,9 @@
 use verbenahinge_core::Timestamp;
 use verbenahinge_core::gateway::{CrashGuard, Prompt, PromptPart, Suspect};
 
+/// Time at which requests were sent that prove nothing by when they were sent.
+const BEFORE_CRASHES: Duration = Duration::ZERO;
+
 const FIRST: u64 = 1;
 const SOUND: u64 = 3;
 const OTHER: u64 = 4;
@@ -36,7 +39,7 @@
 fn refusing_guard(was_sound: bool) -> CrashGuard {
     let mut guard = CrashGuard::new();
     if was_sound {
-        guard.note_success(at(0), &prompt(1, &[FIRST, SOUND]));
+        guard.note_success(at(0), BEFORE_CRASHES, &prompt(1, &[FIRST, SOUND]));
     }
     guard.note_crash(at(500), 1, &prompt(2, &[FIRST, 50, 60]));
     guard.note_crash(at(1000), 2, &prompt(3, &[FIRST, 51, 61]));
@@ -65,7 +68,7 @@
         guard.refusal(at(1400), &suspects)
     });
     assert!(refusals.into_iter().all(|one| one.time_left <= FULL_SHARE));
-    guard.note_success(at(6000), &prompt(5, &[FIRST, OTHER]));
+    guard.note_success(at(6000), BEFORE_CRASHES, &prompt(5, &[FIRST, OTHER]));
     assert_eq!(count_running(&guard, at(6000), &[FIRST, OTHER]), 1000);
 }
 
@@ -90,7 +93,7 @@
 fn part_without_rivals_tried() {
     let mut guard = CrashGuard::new();
     for sound in [SOUND, OTHER] {
-        guard.note_success(at(0), &prompt(sound, &[FIRST, sound]));
+        guard.note_success(at(0), BEFORE_CRASHES, &prompt(sound, &[FIRST, sound]));
     }
     guard.note_crash(at(500), 1, &prompt(10, &[FIRST, SOUND]));
     guard.note_crash(at(1000), 2, &prompt(11, &[FIRST, OTHER]));
--- a/crates/verbenahinge-core/tests/stream_crashes.rs
+++ b/crates/verbenahinge-core/tests/stream_crashes.rs
@@ -5,6 +5,9 @@
 use verbenahinge_core::Timestamp;
 use verbenahinge_core::gateway::{CrashGuard, Prompt, PromptPart, Suspect, SuspectScope};
 
+/// Time at which requests were sent that prove nothing by when they were sent.
+const BEFORE_CRASHES: Duration = Duration::ZERO;
+
 const START: Duration = Duration::from_secs(100);
 
 /// Time after which a blamed suspect is refused for certain.
@@ -38,7 +41,7 @@
     let mut guard = CrashGuard::new();
     guard.note_crash(at(0), 1, &stream(1));
     // The first event at another server says nothing of what follows.
-    guard.note_success(at(10), &waiting(1));
+    guard.note_success(at(10), BEFORE_CRASHES, &waiting(1));
     assert!(guard.refusal(at(10) + SETTLED, &stream(1)).is_none());
     // It crashed the other server as soon as it went on there.
     guard.note_crash(at(20), 2, &stream(1));
@@ -50,7 +53,7 @@
 fn whole_stream_clears() {
     let mut guard = CrashGuard::new();
     guard.note_crash(at(0), 1, &stream(1));
-    guard.note_success(at(500), &stream(1));
+    guard.note_success(at(500), BEFORE_CRASHES, &stream(1));
     guard.note_crash(at(2000), 2, &stream(1));
     assert!(guard.refusal(at(2000) + SETTLED, &stream(1)).is_none());
 }
--- a/crates/verbenahinge-core/tests/support/deadly_fleet.rs
+++ b/crates/verbenahinge-core/tests/support/deadly_fleet.rs
@@ -17,6 +17,9 @@
 pub(crate) use self::plan::{Counts, FleetPlan};
 use super::rounds::Rounds;
 
+/// Time at which requests were sent that prove nothing by when they were sent.
+const BEFORE_CRASHES: Duration = Duration::ZERO;
+
 /// Time after which a VM has found that a server crashed, before up to as much again.
 const CHECK_DELAY: Duration = Duration::from_millis(60);
 
@@ -292,7 +295,7 @@
             let is_first = request.attempts == 1;
             self.counts.related.push((request.arrived, is_first));
         }
-        self.vms[vm].note_success(self.now, &request.suspects);
+        self.vms[vm].note_success(self.now, BEFORE_CRASHES, &request.suspects);
         self.tell_cleared(vm);
     }
 
--- a/crates/verbenahinge/src/gateway/crash_check.rs
+++ b/crates/verbenahinge/src/gateway/crash_check.rs
@@ -192,11 +192,13 @@
     update_blame(gateway, BlameSource::Own);
 }
 
-/// Records that a request has begun its response or ended well, which clears its suspects of earlier
-/// crashes.
-pub(super) fn record_success(gateway: &Rc<Gateway>, suspects: &[Suspect]) {
+/// Records that a request, sent to its server at `sent_at`, has begun its response or ended well, which clears
+/// its suspects of earlier crashes.
+pub(super) fn record_success(gateway: &Rc<Gateway>, sent_at: Timestamp, suspects: &[Suspect]) {
     let now = gateway.now();
-    let cleared = gateway.state.borrow_mut().note_success(now, suspects);
+    let mut state = gateway.state.borrow_mut();
+    let cleared = state.note_success(now, sent_at, suspects);
+    drop(state);
     if cleared.is_empty() {
         return;
     }
--- a/crates/verbenahinge/src/gateway/relay.rs
+++ b/crates/verbenahinge/src/gateway/relay.rs
@@ -297,7 +297,7 @@
             let now = self.handler.gateway.now();
             state.note_answer(now, &self.server, true);
         }
-        self.handler.note_stream_end();
+        self.handler.note_stream_end(&self.server);
         if let Some(stream) = self.upstream.take() {
             stream.release_connection();
         }
--- a/crates/verbenahinge/src/gateway/request_handler/crashes.rs
+++ b/crates/verbenahinge/src/gateway/request_handler/crashes.rs
@@ -6,7 +6,7 @@
 
 use hyper::StatusCode;
 use verbenahinge_core::gateway::{CrashRefusal, PlacementError, RouteKind};
-use verbenahinge_core::{CrashId, FailureKind, ServerName};
+use verbenahinge_core::{CrashId, FailureKind, ServerName, Timestamp};
 
 use super::RequestHandler;
 use crate::gateway::crash_check::{self, CrashCheck};
@@ -17,6 +17,8 @@
 pub(super) struct CrashWatch {
     /// Crash that would end the run of each server that the request was sent to, as of that time.
     crash_ids: BTreeMap<ServerName, CrashId>,
+    /// Time of the last attempt at each server.
+    sent_at: BTreeMap<ServerName, Timestamp>,
     /// Servers from which an event has arrived.
     first_events: RefCell<BTreeSet<ServerName>>,
     pending_check: RefCell<Option<CrashCheck>>,
@@ -101,24 +103,33 @@
     pub(super) fn note_attempt(&mut self, server: &ServerName) {
         let crash = self.gateway.state.borrow().crash_id(server);
         self.crash_watch.crash_ids.insert(server.clone(), crash);
+        let now = self.gateway.now();
+        self.crash_watch.sent_at.insert(server.clone(), now);
         self.crash_watch.cancellation.has_attempt.set(true);
     }
 
+    /// Time at which the request was last sent to a server.
+    pub(super) fn sent_at(&self, server: &str) -> Timestamp {
+        let sent_at = self.crash_watch.sent_at.get(server);
+        sent_at.copied().unwrap_or_default()
+    }
+
     /// Notes an event from a server; the first one clears the suspects of a prompt.
     pub(super) fn note_first_event_from(&self, server: &str) {
         let mut first_events = self.crash_watch.first_events.borrow_mut();
         if first_events.insert(server.into()) && self.call.prompt.is_some() {
-            crash_check::record_success(&self.gateway, &self.call.waiting_suspects());
+            let sent_at = self.sent_at(server);
+            crash_check::record_success(&self.gateway, sent_at, &self.call.waiting_suspects());
         }
     }
 
     /// Notes that a stream is complete, which clears the suspects that its first event did not clear.
-    pub(crate) fn note_stream_end(&self) {
+    pub(crate) fn note_stream_end(&self, server: &str) {
         let suspects = match self.call.stream_suspect() {
             Some(stream) => vec![stream],
             None => self.call.suspects(),
         };
-        crash_check::record_success(&self.gateway, &suspects);
+        crash_check::record_success(&self.gateway, self.sent_at(server), &suspects);
     }
 
     /// Has a server checked whose connection broke.
--- a/crates/verbenahinge/src/gateway/request_handler/final_response.rs
+++ b/crates/verbenahinge/src/gateway/request_handler/final_response.rs
@@ -31,7 +31,8 @@
         *response.headers_mut() = http_headers::without_hop_by_hop(&buffered.headers);
         self.record_outcome("answered", Some(server), Some(buffered.status), &"");
         if buffered.status.is_success() {
-            crash_check::record_success(&self.gateway, &self.call.suspects());
+            let sent_at = self.sent_at(server);
+            crash_check::record_success(&self.gateway, sent_at, &self.call.suspects());
         }
         response
     }
