--- a/crates/verbenahinge-emulator/src/scripted_server.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server.rs
@@ -141,7 +141,6 @@
     match fault {
         ServerFault::EndlessInterim => "HTTP/1.1 103 Early Hints\r\n\r\n",
         ServerFault::EndlessChunkSize => "0",
-        ServerFault::EndlessComments => ": comment\n\n",
         _ => "x",
     }
 }
--- a/crates/verbenahinge-emulator/src/scripted_server/response.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/response.rs
@@ -133,10 +133,6 @@
                 let headers = format!("{signature}content-type: text/event-stream\r\n");
                 (headers, "id: 1\ndata: ")
             }
-            ServerFault::EndlessComments => {
-                let headers = format!("{signature}content-type: text/event-stream\r\n");
-                (headers, "")
-            }
             ServerFault::EndlessChunkSize => {
                 (format!("{signature}transfer-encoding: chunked\r\n"), "")
             }
--- a/crates/verbenahinge-emulator/src/scripted_server/server_fault.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/server_fault.rs
@@ -63,8 +63,6 @@
     EndlessInterim,
     /// Sends the size of a chunk of a body, which does not end, until the client closes the connection.
     EndlessChunkSize,
-    /// Sends comment lines of a stream of events, until the client closes the connection.
-    EndlessComments,
 }
 
 impl ServerFault {
@@ -83,7 +81,6 @@
                 | Self::EndlessEvent
                 | Self::EndlessInterim
                 | Self::EndlessChunkSize
-                | Self::EndlessComments
         )
     }
 
--- a/crates/verbenahinge/tests/config_freshness.rs
+++ b/crates/verbenahinge/tests/config_freshness.rs
@@ -19,6 +19,18 @@
     (fleet, proxy)
 }
 
+/// VM whose watch of the configuration has just begun, on a connection that has gone silent.
+async fn start_with_silent_watch() -> GatewayFleet {
+    let (fleet, proxy) = start_alone().await;
+    fleet.write_config(&config_with_version(8)).await;
+    fleet
+        .wait_for_log(VM, "name=config_in_force version=8 ")
+        .await;
+    fleet.wait_for_watches(OPERATOR_TABLE, 1).await;
+    proxy.stall_open_connections();
+    fleet
+}
+
 fn config_with_version(version: u64) -> String {
     CONFIG.replace("\"version\": 7", &format!("\"version\": {version}"))
 }
@@ -35,13 +47,7 @@
 /// gone silent, seconds after the bound.
 #[actix_rt::test]
 async fn silent_watch_hides_config() {
-    let (fleet, proxy) = start_alone().await;
-    fleet.write_config(&config_with_version(8)).await;
-    fleet
-        .wait_for_log(VM, "name=config_in_force version=8 ")
-        .await;
-    fleet.wait_for_watches(OPERATOR_TABLE, 1).await;
-    proxy.stall_open_connections();
+    let fleet = start_with_silent_watch().await;
     fleet.write_config(&config_with_version(9)).await;
     fleet
         .wait_for_log(VM, "name=config_in_force version=9 ")
@@ -73,13 +79,7 @@
 /// Guards against a final refusal of a key that was added, by a VM that could have asked the store.
 #[actix_rt::test]
 async fn added_key_refused_beside_silent_watch() {
-    let (fleet, proxy) = start_alone().await;
-    fleet.write_config(&config_with_version(8)).await;
-    fleet
-        .wait_for_log(VM, "name=config_in_force version=8 ")
-        .await;
-    fleet.wait_for_watches(OPERATOR_TABLE, 1).await;
-    proxy.stall_open_connections();
+    let fleet = start_with_silent_watch().await;
     fleet.write_config(&with_third_account(9)).await;
     // Callers may be refused for good within the time that a configuration has to come into force.
     actix_rt::time::sleep(std::time::Duration::from_secs(2)).await;
