fix(serve): a response that breaks off is not forwarded as a whole one, and a call without a response not sent again

Callers of the own interface got a 200 with a short or empty body, framed as whole, when a plain service closed its connection inside the body; the short answer was kept under the idempotency key and replayed. A call whose service closed the connection before the first byte of a response was run again, up to six times, also if it must run once, and then refused with the verdict not_run.

Cause: awc ends a body without an error when its connection ends, and reports a connection that is closed before a byte of a response with the error of one that could not be opened, which counted as not sent.

Counting bytes against Content-Length around awc cannot tell a chunked body without its last chunk and leaves the second fault.

Change: HttpClient in verbenahinge-http, on hyper's client with a pool. Services and engines, load queries, the platform of serve, the operator commands, load and the test client use it; awc is gone. load reports broken_off.

--- a/crates/verbenahinge-emulator/src/scripted_server.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server.rs
@@ -15,6 +15,7 @@
 mod moves;
 mod request;
 mod response;
+mod response_cut;
 mod server_fault;
 mod server_faults;
 
@@ -36,6 +37,7 @@
 pub use self::moves::{MOVES_PATH, MoveRecord};
 use self::request::ParsedRequest;
 use self::response::Responder;
+pub use self::response_cut::{CutEnd, ResponseCut};
 pub use self::server_fault::ServerFault;
 pub use self::server_faults::ServerFaults;
 
@@ -367,6 +369,16 @@
                 stream.write_all(&bytes[..CUT_HEAD_BYTES]).await?;
                 return Ok(false);
             }
+            ServerFault::CutAsRequested => {
+                let bytes = if request.is_stream {
+                    responder.complete_stream(&self.options.id)
+                } else {
+                    responder.complete(load)
+                };
+                return ResponseCut::of_target(&request.target)
+                    .send(stream, &bytes)
+                    .await;
+            }
             _ if fault.cuts_bodies() && !request.is_stream => {
                 let bytes = responder.complete(load);
                 stream.write_all(&bytes[..bytes.len() - 2]).await?;
--- a/crates/verbenahinge-emulator/src/scripted_server/response.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/response.rs
@@ -113,11 +113,21 @@
         };
         let mut bytes = self.head(&status, &headers).into_bytes();
         if self.request.method != "HEAD" && !matches!(self.faults.status, 204 | 304) {
-            bytes.extend_from_slice(body.as_bytes());
+            bytes.extend_from_slice(&self.faults.framing.encode_plain(body.as_bytes()));
         }
         bytes
     }
 
+    /// Complete stream of events, after the last one that the client has received.
+    pub(super) fn complete_stream(self, server: &str) -> Vec<u8> {
+        let mut bytes = self.stream_head();
+        for id in self.request.last_event + 1..=self.faults.events {
+            bytes.extend_from_slice(&self.faults.framing.encode(&event(id, server)));
+        }
+        bytes.extend_from_slice(self.faults.framing.stream_end());
+        bytes
+    }
+
     /// Response without a length, whose body ends only when the connection closes.
     pub(super) fn unframed(self) -> Vec<u8> {
         let headers = format!("{}connection: close\r\n", self.signature_header());
--- a/crates/verbenahinge-emulator/src/scripted_server/server_fault.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/server_fault.rs
@@ -33,6 +33,9 @@
     BreakOffBetweenEvents,
     /// Closes the connection in the middle of the head of a response.
     CutHead,
+    /// Ends the connection after the byte of the response that the request names, see
+    /// [`ResponseCut`](super::ResponseCut).
+    CutAsRequested,
     /// Resets the connection in the middle of a response or of an event.
     Reset,
     /// Resets the connection in the middle of a response or between two events of a stream.
--- a/crates/verbenahinge-http/src/lib.rs
+++ b/crates/verbenahinge-http/src/lib.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 server, request body parsing and response helpers on top of actix-http.
 //!
+//! [`HttpClient`] sends requests, and the bodies that it reads end with an error unless they are whole.
 //! [`connect()`] opens client connections with TCP keepalive, and [`timeout()`] waits for what arrives
 //! on them.
 //!
@@ -22,6 +23,7 @@
 mod connect;
 mod gated_stream;
 mod headers;
+mod http_client;
 mod read_gate;
 mod read_pace;
 mod request_body;
@@ -33,6 +35,7 @@
 pub use self::body::{BodyError, read_body, read_json};
 pub use self::connect::{connect, connect_from};
 pub use self::headers::header_text;
+pub use self::http_client::{HttpClient, HttpClientError};
 pub use self::request_body::RequestBody;
 pub use self::response::{HttpResponse, empty, json, text};
 pub use self::server::{HttpRequest, Server};
--- a/crates/verbenahinge-testkit/src/client.rs
+++ b/crates/verbenahinge-testkit/src/client.rs
@@ -3,8 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use actix_http::Method;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request, header};
 use serde_json::{Value, json};
+use verbenahinge_http::HttpClient;
 
 /// Timeout for a request and its whole response.
 const REQUEST_TIMEOUT: Duration = Duration::from_mins(1);
@@ -106,38 +109,43 @@
     }
 
     /// Sends a request and reads the whole response.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the path or a header is invalid.
     pub async fn send(&self, method: Method, path: &str, body: Option<&Value>) -> Response {
-        let http = awc::Client::builder().timeout(REQUEST_TIMEOUT).finish();
-        let url = format!("http://{}{path}", self.address);
-        let mut request = http.request(method, url).bearer_auth(&self.bearer_token);
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header(
+                header::AUTHORIZATION,
+                format!("Bearer {}", self.bearer_token),
+            );
         for (name, value) in &self.headers {
-            request = request.insert_header((name.as_str(), value.as_str()));
+            request = request.header(name, value);
         }
-        let result = match body {
-            Some(body) => request.send_json(body).await,
-            None => request.send().await,
-        };
-        let Ok(mut response) = result else {
-            return failed_response(String::new());
+        if body.is_some() {
+            request = request.header(header::CONTENT_TYPE, "application/json");
+        }
+        let bytes = body.map_or_else(Bytes::new, |body| Bytes::from(body.to_string()));
+        let request = request.body(Full::new(bytes)).expect("a valid request");
+        let fetched = HttpClient::new(REQUEST_TIMEOUT)
+            .fetch(request, BODY_LIMIT_BYTES, REQUEST_TIMEOUT)
+            .await;
+        let Ok(response) = fetched else {
+            return failed_response();
         };
         let header = |name: &str| {
             let value = response.headers().get(name);
             let text = value.and_then(|value| value.to_str().ok());
             text.map(ToOwned::to_owned)
         };
-        let request_id = header("x-request-id").unwrap_or_default();
-        let retry_after = header("retry-after");
-        let etag = header("etag");
-        let status = response.status().as_u16();
-        let Ok(bytes) = response.body().limit(BODY_LIMIT_BYTES).await else {
-            return failed_response(request_id);
-        };
         Response {
-            status,
-            request_id,
-            retry_after,
-            etag,
-            body: String::from_utf8_lossy(&bytes).into_owned(),
+            status: response.status().as_u16(),
+            request_id: header("x-request-id").unwrap_or_default(),
+            retry_after: header("retry-after"),
+            etag: header("etag"),
+            body: String::from_utf8_lossy(response.body()).into_owned(),
         }
     }
 
@@ -163,10 +171,10 @@
     }
 }
 
-const fn failed_response(request_id: String) -> Response {
+const fn failed_response() -> Response {
     Response {
         status: 0,
-        request_id,
+        request_id: String::new(),
         retry_after: None,
         etag: None,
         body: String::new(),
--- a/crates/verbenahinge-testkit/src/fleet.rs
+++ b/crates/verbenahinge-testkit/src/fleet.rs
@@ -127,7 +127,7 @@
             .header("if-match", "\"0\"")
             .header("idempotency-key", "first");
         let response = operator
-            .send(actix_http::Method::PATCH, "/v1/config", Some(&patch))
+            .send(hyper::Method::PATCH, "/v1/config", Some(&patch))
             .await;
         assert_eq!(response.status, 200, "{}", response.body);
         self.wait_for_version(1).await;
--- a/crates/verbenahinge/src/backend.rs
+++ b/crates/verbenahinge/src/backend.rs
@@ -4,14 +4,15 @@
 mod outcome;
 mod service;
 
-use std::fmt::Display;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use awc::Client;
-use awc::error::SendRequestError;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request};
 use serde::Deserialize;
 use verbenahinge_core::{Attempt, Dispatch, FailureKind, LoadReport, RequestId, ServerName};
+use verbenahinge_http::{HttpClient, HttpClientError};
 
 pub(crate) use self::engine::run_completion;
 pub(crate) use self::outcome::{DecodedOutcome, decode_outcome, encode_outcome};
@@ -24,6 +25,9 @@
 /// Timeout of load queries and stream cancellations.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Maximum body size of a response to a load query or a stream cancellation.
+const MAX_CONTROL_BYTES: usize = 64 << 10;
+
 /// Parameters of one attempt.
 #[derive(Clone, Debug)]
 pub(crate) struct AttemptSpec {
@@ -40,25 +44,15 @@
     waiting: u32,
 }
 
-/// HTTP clients shared by all backend servers.
+/// HTTP client shared by all backend servers.
 pub(crate) struct BackendClient {
-    client: Client,
-    control_client: Client,
+    client: HttpClient,
 }
 
 impl BackendClient {
     pub(crate) fn new() -> Self {
-        let connector = || awc::Connector::new().timeout(CONNECT_TIMEOUT).limit(0);
         Self {
-            client: Client::builder()
-                .connector(connector())
-                .disable_timeout()
-                .disable_redirects()
-                .finish(),
-            control_client: Client::builder()
-                .connector(connector())
-                .timeout(CONTROL_TIMEOUT)
-                .finish(),
+            client: HttpClient::new(CONNECT_TIMEOUT),
         }
     }
 
@@ -66,7 +60,7 @@
     /// does not know the stream has already stopped it. A failure to send is only logged.
     pub(crate) async fn cancel(&self, address: SocketAddr, stream: &str) {
         let url = format!("http://{address}/v1/streams/{stream}");
-        if let Err(error) = self.control_client.delete(url).send().await {
+        if let Err(error) = self.control(Method::DELETE, &url).await {
             log::debug!("stream {stream} could not be cancelled at {address}: {error}");
         }
     }
@@ -78,19 +72,13 @@
         address: SocketAddr,
     ) -> Option<LoadReport> {
         let url = format!("http://{address}/load");
-        let log_failure =
-            |error: &dyn Display| log::debug!("no load report of {name} at {address}: {error}");
-        let mut response = match self.control_client.get(url).send().await {
-            Ok(response) => response,
-            Err(error) => {
-                log_failure(&error);
-                return None;
-            }
-        };
-        let load: LoadResponse = match response.json().await {
+        let report = self.control(Method::GET, &url).await;
+        let load: Result<LoadResponse, String> = report
+            .and_then(|body| serde_json::from_slice(&body).map_err(|error| error.to_string()));
+        let load = match load {
             Ok(load) => load,
             Err(error) => {
-                log_failure(&error);
+                log::debug!("no load report of {name} at {address}: {error}");
                 return None;
             }
         };
@@ -101,6 +89,20 @@
             waiting: load.waiting,
         })
     }
+
+    /// Sends a request without a body and returns the whole body of the response.
+    async fn control(&self, method: Method, url: &str) -> Result<Bytes, String> {
+        let request = Request::builder().method(method).uri(url);
+        let request = request
+            .body(Full::default())
+            .map_err(|error| error.to_string())?;
+        let fetched = self
+            .client
+            .fetch(request, MAX_CONTROL_BYTES, CONTROL_TIMEOUT)
+            .await;
+        let response = fetched.map_err(|error| error.to_string())?;
+        Ok(response.into_body())
+    }
 }
 
 /// Returns the stream ID that an engine uses for an attempt.
@@ -108,11 +110,18 @@
     format!("{}-{attempt}", format_request_id(request))
 }
 
-/// Classifies a send error: only a failed connection attempt or an invalid URL shows that the
-/// request did not arrive.
-fn classify_send_error(error: &SendRequestError) -> FailureKind {
+/// Classifies an error: only a failed connection attempt shows that the request did not arrive.
+const fn classify_error(error: &HttpClientError) -> FailureKind {
     match error {
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => FailureKind::ConnectFailed,
-        _ => FailureKind::ConnectionLost,
+        HttpClientError::Connect(_) => FailureKind::ConnectFailed,
+        HttpClientError::NoResponse(_)
+        | HttpClientError::Body(_)
+        | HttpClientError::Timeout { .. } => FailureKind::ConnectionLost,
     }
 }
+
+/// Classifies a request that cannot be built, because an address or path is invalid, as not sent.
+fn classify_build_error(error: &hyper::http::Error) -> FailureKind {
+    log::warn!("a request to a backend server cannot be sent: {error}");
+    FailureKind::ConnectFailed
+}
--- a/crates/verbenahinge/src/backend/engine.rs
+++ b/crates/verbenahinge/src/backend/engine.rs
@@ -5,10 +5,13 @@
 use bytes::Bytes;
 use eventsource_stream::Eventsource;
 use futures_util::StreamExt;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{Request, Response, header};
 use serde_json::Value;
 use verbenahinge_core::{DispatchMode, Event, FailureKind, Frame, RequestId};
 
-use super::{AttemptSpec, classify_send_error, stream_id};
+use super::{AttemptSpec, classify_build_error, classify_error, stream_id};
 use crate::api_error::{REQUEST_ID_HEADER, format_request_id};
 use crate::shell::{EngineCall, Shell};
 
@@ -48,7 +51,7 @@
         _ => return Err(FailureKind::Rejected),
     }
     let request = spec.dispatch.request;
-    let mut events = response.eventsource();
+    let mut events = response.into_body().into_data_stream().eventsource();
     while let Some(event) = events.next().await {
         let Ok(event) = event else {
             return Err(FailureKind::ConnectionLost);
@@ -70,37 +73,36 @@
     Err(FailureKind::ConnectionLost)
 }
 
-type EngineResponse = awc::ClientResponse;
-
 async fn send(
     shell: &Rc<Shell>,
     spec: &AttemptSpec,
     call: &EngineCall,
-) -> Result<EngineResponse, FailureKind> {
-    let client = &shell.backend.client;
+) -> Result<Response<Incoming>, FailureKind> {
+    let request = build_request(spec, call).map_err(|error| classify_build_error(&error))?;
+    let sent = shell.backend.client.send(request).await;
+    sent.map_err(|error| classify_error(&error))
+}
+
+fn build_request(
+    spec: &AttemptSpec,
+    call: &EngineCall,
+) -> hyper::http::Result<Request<Full<Bytes>>> {
     let request = spec.dispatch.request;
     let stream = stream_id(request, spec.stream_attempt);
     let address = spec.address;
-    let sent = match spec.dispatch.mode {
-        DispatchMode::Resume { delivered, .. } => {
-            let url = format!("http://{address}/v1/streams/{stream}?from={delivered}");
-            client.get(url).no_decompress().send().await
-        }
-        DispatchMode::Fresh | DispatchMode::Continue { .. } => {
-            let mut body = call.body.clone();
-            body.insert("stream".to_owned(), Value::Bool(true));
-            body.insert("priority".to_owned(), Value::from(spec.dispatch.tier));
-            client
-                .post(format!("http://{address}{}", call.path))
-                .no_decompress()
-                .insert_header((REQUEST_ID_HEADER, format_request_id(request)))
-                .insert_header(("x-stream-id", stream))
-                .insert_header(("x-continue-from", delivered(spec.dispatch.mode).to_string()))
-                .send_json(&body)
-                .await
-        }
-    };
-    sent.map_err(|error| classify_send_error(&error))
+    if let DispatchMode::Resume { delivered, .. } = spec.dispatch.mode {
+        let url = format!("http://{address}/v1/streams/{stream}?from={delivered}");
+        return Request::get(url).body(Full::default());
+    }
+    let mut body = call.body.clone();
+    body.insert("stream".to_owned(), Value::Bool(true));
+    body.insert("priority".to_owned(), Value::from(spec.dispatch.tier));
+    Request::post(format!("http://{address}{}", call.path))
+        .header(header::CONTENT_TYPE, "application/json")
+        .header(REQUEST_ID_HEADER, format_request_id(request))
+        .header("x-stream-id", stream)
+        .header("x-continue-from", delivered(spec.dispatch.mode))
+        .body(Full::new(Value::Object(body).to_string().into()))
 }
 
 const fn delivered(mode: DispatchMode) -> u64 {
--- a/crates/verbenahinge/src/backend/service.rs
+++ b/crates/verbenahinge/src/backend/service.rs
@@ -2,10 +2,13 @@
 
 use std::rc::Rc;
 
-use actix_http::header;
+use actix_http::StatusCode;
+use http_body_util::Full;
+use hyper::{Request, header};
 use verbenahinge_core::{Event, FailureKind};
+use verbenahinge_http::HttpClient;
 
-use super::{AttemptSpec, classify_send_error};
+use super::{AttemptSpec, classify_build_error, classify_error};
 use crate::api_error::{REQUEST_ID_HEADER, format_request_id};
 use crate::shell::{ServiceAnswer, ServiceCall, Shell};
 
@@ -40,31 +43,34 @@
     call: &ServiceCall,
 ) -> Result<ServiceAnswer, FailureKind> {
     let url = format!("http://{}{}", spec.address, call.path_and_query);
-    let client = &shell.backend.client;
-    let mut request = client.request(call.method.clone(), url).no_decompress();
+    let mut request = Request::builder().method(call.method.as_str()).uri(url);
     for (name, value) in &call.headers {
-        request = request.append_header((name, value));
+        request = request.header(name.as_str(), value.as_bytes());
     }
-    request = request.insert_header((REQUEST_ID_HEADER, format_request_id(spec.dispatch.request)));
-    let sent = request.send_body(call.body.clone()).await;
-    let mut response = sent.map_err(|error| classify_send_error(&error))?;
-    let status = response.status();
-    if status.as_u16() == 503 {
+    let request = request
+        .header(REQUEST_ID_HEADER, format_request_id(spec.dispatch.request))
+        .body(Full::new(call.body.clone()))
+        .map_err(|error| classify_build_error(&error))?;
+    let sent = shell.backend.client.send(request).await;
+    let response = sent.map_err(|error| classify_error(&error))?;
+    if response.status() == hyper::StatusCode::SERVICE_UNAVAILABLE {
         return Err(FailureKind::Rejected);
     }
+    let response = HttpClient::read_whole(response, MAX_ANSWER_BYTES)
+        .await
+        .map_err(|error| {
+            log::debug!("answer of the service at {}: {error}", spec.address);
+            classify_error(&error)
+        })?;
     let content_type = response
         .headers()
         .get(header::CONTENT_TYPE)
         .and_then(|value| value.to_str().ok())
         .map(ToOwned::to_owned);
-    let body = response
-        .body()
-        .limit(MAX_ANSWER_BYTES)
-        .await
-        .map_err(|_| FailureKind::ConnectionLost)?;
+    let status = StatusCode::from_u16(response.status().as_u16());
     Ok(ServiceAnswer {
-        status,
+        status: status.map_err(|_| FailureKind::ServerError)?,
         content_type,
-        body,
+        body: response.into_body(),
     })
 }
--- a/crates/verbenahinge/src/cli/load.rs
+++ b/crates/verbenahinge/src/cli/load.rs
@@ -7,11 +7,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use awc::Client;
-use futures_util::StreamExt;
+use bytes::Bytes;
 use futures_util::future::join_all;
 use getopts::Options;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, Response, header};
 use serde_json::json;
+use verbenahinge_http::HttpClient;
 
 use super::error::CliError;
 use super::output::write_out;
@@ -20,11 +22,14 @@
 /// Maximum number of requests in one run.
 const MAX_REQUESTS: u64 = 1_000_000;
 
+/// Timeout for opening a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Timeout of each request.
 const REQUEST_TIMEOUT: Duration = Duration::from_mins(1);
 
 struct LoadTest {
-    client: Client,
+    client: HttpClient,
     url: String,
     api_key: String,
     class: Option<String>,
@@ -38,6 +43,8 @@
 #[derive(Default)]
 struct LoadResults {
     statuses: BTreeMap<u16, u64>,
+    /// Responses whose body broke off before its end, or was not whole in time.
+    broken_off: u64,
     first_byte_us: Vec<u64>,
     total_us: Vec<u64>,
     bytes: u64,
@@ -86,7 +93,7 @@
     let max_tokens = number("max-tokens", 64)?;
     actix_rt::System::new().block_on(async {
         let load = Rc::new(LoadTest {
-            client: Client::builder().timeout(REQUEST_TIMEOUT).finish(),
+            client: HttpClient::new(CONNECT_TIMEOUT),
             url: format!(
                 "http://{}/v1/chat/completions",
                 text("address", "127.0.0.1:8080")
@@ -121,30 +128,62 @@
         "max_tokens": load.max_tokens,
         "messages": [{"role": "user", "content": load.prompt}],
     });
-    let mut request = load.client.post(&load.url).bearer_auth(&load.api_key);
+    let mut request = Request::post(&load.url)
+        .header(header::CONTENT_TYPE, "application/json")
+        .header(header::AUTHORIZATION, format!("Bearer {}", load.api_key));
     if let Some(class) = &load.class {
-        request = request.insert_header(("x-class", class.as_str()));
+        request = request.header("x-class", class);
     }
     let started = Instant::now();
-    let Ok(mut response) = request.send_json(&body).await else {
-        *load.results.borrow_mut().statuses.entry(0).or_default() += 1;
-        return;
+    let exchange = async {
+        let request = request.body(Full::new(Bytes::from(body.to_string())));
+        let response = match request.map(|request| load.client.send(request)) {
+            Ok(sending) => sending.await.ok()?,
+            Err(_) => return None,
+        };
+        Some((started.elapsed(), read_body(response).await))
     };
-    let header_time = started.elapsed();
-    let mut bytes = 0;
-    while let Some(Ok(chunk)) = response.next().await {
-        bytes += chunk.len() as u64;
-    }
+    let exchanged = verbenahinge_http::timeout(REQUEST_TIMEOUT, exchange).await;
     let mut results = load.results.borrow_mut();
-    let status = response.status().as_u16();
-    *results.statuses.entry(status).or_default() += 1;
-    results.bytes += bytes;
-    if status == 200 {
+    let Ok(Some((header_time, received))) = exchanged else {
+        *results.statuses.entry(0).or_default() += 1;
+        return;
+    };
+    *results.statuses.entry(received.status).or_default() += 1;
+    results.bytes += received.bytes;
+    if !received.is_whole {
+        results.broken_off += 1;
+    } else if received.status == 200 {
         results.first_byte_us.push(to_micros(header_time));
         results.total_us.push(to_micros(started.elapsed()));
     }
 }
 
+/// What arrived of a response.
+struct Received {
+    status: u16,
+    bytes: u64,
+    /// Whether the body ended as its framing announced.
+    is_whole: bool,
+}
+
+async fn read_body(response: Response<hyper::body::Incoming>) -> Received {
+    let mut received = Received {
+        status: response.status().as_u16(),
+        bytes: 0,
+        is_whole: true,
+    };
+    let mut body = response.into_body();
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            received.is_whole = false;
+            break;
+        };
+        received.bytes += frame.data_ref().map_or(0, |data| data.len() as u64);
+    }
+    received
+}
+
 fn to_micros(duration: Duration) -> u64 {
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
@@ -161,6 +200,7 @@
     let report = json!({
         "elapsed_ms": to_micros(elapsed) / 1000,
         "statuses": results.statuses,
+        "broken_off": results.broken_off,
         "bytes": results.bytes,
         "first_byte_us": {"p50": percentile(&mut first, 50), "p99": percentile(&mut first, 99)},
         "total_us": {"p50": percentile(&mut total, 50), "p99": percentile(&mut total, 99)},
--- a/crates/verbenahinge/src/cli/operator_client.rs
+++ b/crates/verbenahinge/src/cli/operator_client.rs
@@ -2,14 +2,20 @@
 
 use std::time::Duration;
 
-use awc::Client;
+use bytes::Bytes;
 use getopts::{Matches, Options};
+use http_body_util::Full;
+use hyper::{Method, Request, header};
 use serde_json::Value;
 use verbenahinge_core::Declaration;
+use verbenahinge_http::HttpClient;
 
 use super::environment_variables;
 use super::error::CliError;
 
+/// Timeout for opening a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
+
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(15);
 
 const MAX_BODY_BYTES: usize = 64 << 20;
@@ -48,7 +54,7 @@
 
 /// Client for the operator API of one VM.
 pub(super) struct OperatorClient {
-    client: Client,
+    client: HttpClient,
     address: String,
     token: String,
 }
@@ -77,22 +83,20 @@
             CliError::Usage("--token: missing; set it or VERBENAHINGE_TOKEN".to_owned())
         })?;
         Ok(Self {
-            client: Client::builder().timeout(REQUEST_TIMEOUT).finish(),
+            client: HttpClient::new(CONNECT_TIMEOUT),
             address,
             token,
         })
     }
 
     pub(super) async fn get(&self, path: &str) -> Result<OperatorResponse, CliError> {
-        let url = format!("http://{}{path}", self.address);
-        let request = self.client.get(url).bearer_auth(&self.token);
-        Self::read_response(request.send().await).await
+        self.send(self.request(Method::GET, path).body(Full::default()))
+            .await
     }
 
     pub(super) async fn post(&self, path: &str) -> Result<OperatorResponse, CliError> {
-        let url = format!("http://{}{path}", self.address);
-        let request = self.client.post(url).bearer_auth(&self.token);
-        Self::read_response(request.send().await).await
+        self.send(self.request(Method::POST, path).body(Full::default()))
+            .await
     }
 
     pub(super) async fn patch(
@@ -101,34 +105,41 @@
         patch_id: &str,
         patch: &Value,
     ) -> Result<OperatorResponse, CliError> {
-        let url = format!("http://{}/v1/config", self.address);
         let request = self
-            .client
-            .patch(url)
-            .bearer_auth(&self.token)
-            .insert_header(("if-match", base))
-            .insert_header(("idempotency-key", patch_id));
-        Self::read_response(request.send_json(patch).await).await
+            .request(Method::PATCH, "/v1/config")
+            .header(header::CONTENT_TYPE, "application/json")
+            .header(header::IF_MATCH, base)
+            .header("idempotency-key", patch_id)
+            .body(Full::new(Bytes::from(patch.to_string())));
+        self.send(request).await
+    }
+
+    fn request(&self, method: Method, path: &str) -> hyper::http::request::Builder {
+        Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header(header::AUTHORIZATION, format!("Bearer {}", self.token))
     }
 
-    async fn read_response(
-        result: Result<awc::ClientResponse, awc::error::SendRequestError>,
+    async fn send(
+        &self,
+        request: hyper::http::Result<Request<Full<Bytes>>>,
     ) -> Result<OperatorResponse, CliError> {
-        let mut response = result.map_err(|error| CliError::Failed(error.to_string()))?;
+        let request = request.map_err(|error| CliError::Usage(error.to_string()))?;
+        let fetched = self
+            .client
+            .fetch(request, MAX_BODY_BYTES, REQUEST_TIMEOUT)
+            .await;
+        let response = fetched.map_err(|error| CliError::Failed(error.to_string()))?;
         let etag = response
             .headers()
-            .get("etag")
+            .get(header::ETAG)
             .and_then(|value| value.to_str().ok())
             .map(ToOwned::to_owned);
-        let body = response
-            .body()
-            .limit(MAX_BODY_BYTES)
-            .await
-            .map_err(|error| CliError::Failed(error.to_string()))?;
         Ok(OperatorResponse {
             status: response.status().as_u16(),
             etag,
-            body: decode_body(&body)?,
+            body: decode_body(response.body())?,
         })
     }
 
--- a/crates/verbenahinge/src/platform.rs
+++ b/crates/verbenahinge/src/platform.rs
@@ -8,13 +8,19 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use awc::Client;
+use bytes::Bytes;
 use derive_more::{Display, Error};
+use http_body_util::Full;
+use hyper::{Request, header};
 use serde::{Deserialize, Serialize};
 use verbenahinge_core::table::{Row, TableOp, TableReply};
+use verbenahinge_http::HttpClient;
 
 use crate::event_log::LogEvent;
 
+/// Timeout for opening a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// Time after which a reply counts as lost.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -69,7 +75,7 @@
 
 /// Client of the platform that logs when the platform becomes unavailable or available again.
 pub(crate) struct PlatformClient {
-    client: Client,
+    client: HttpClient,
     address: SocketAddr,
     available: Cell<bool>,
 }
@@ -77,7 +83,7 @@
 impl PlatformClient {
     pub(crate) fn new(address: SocketAddr) -> Self {
         Self {
-            client: Client::builder().timeout(REPLY_TIMEOUT).finish(),
+            client: HttpClient::new(CONNECT_TIMEOUT),
             address,
             available: Cell::new(true),
         }
@@ -103,10 +109,14 @@
             writes: writes.into_iter().map(row_to_json).collect(),
         };
         let url = format!("http://{}/table/transactions", self.address);
-        let sent = self.client.post(url).send_json(&transaction).await;
-        let mut response = sent.map_err(|_| Unavailable)?;
-        let body = response.json::<TransactionReply>().limit(MAX_BODY_BYTES);
-        let reply = body.await.map_err(|_| Unavailable)?;
+        let body = serde_json::to_vec(&transaction).map_err(|error| {
+            log::warn!("a transaction cannot be encoded: {error}");
+            Unavailable
+        })?;
+        let request = Request::post(url)
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::from(body));
+        let reply: TransactionReply = self.exchange(request, "POST /table/transactions").await?;
         if reply.committed {
             return Ok(TableReply::Committed);
         }
@@ -134,16 +144,27 @@
 
     async fn get<T: for<'a> Deserialize<'a>>(&self, path: &str) -> Result<T, Unavailable> {
         let url = format!("http://{}{path}", self.address);
+        let request = Request::get(url).body(Full::default());
+        self.exchange(request, &format!("GET {path}")).await
+    }
+
+    /// Sends a request and decodes the whole reply; a failure is logged with the given name of the request.
+    async fn exchange<T: for<'a> Deserialize<'a>>(
+        &self,
+        request: hyper::http::Result<Request<Full<Bytes>>>,
+        name: &str,
+    ) -> Result<T, Unavailable> {
         let log_failure = |error: &dyn Display| {
-            log::debug!("platform request GET {path} failed: {error}");
+            log::debug!("platform request {name} failed: {error}");
             Unavailable
         };
-        let mut response = match self.client.get(&url).send().await {
-            Ok(response) => response,
-            Err(error) => return Err(log_failure(&error)),
-        };
-        let body = response.json::<T>().limit(MAX_BODY_BYTES);
-        body.await.map_err(|error| log_failure(&error))
+        let request = request.map_err(|error| log_failure(&error))?;
+        let fetched = self
+            .client
+            .fetch(request, MAX_BODY_BYTES, REPLY_TIMEOUT)
+            .await;
+        let response = fetched.map_err(|error| log_failure(&error))?;
+        serde_json::from_slice(response.body()).map_err(|error| log_failure(&error))
     }
 
     fn set_available(&self, available: bool) {
--- a/crates/verbenahinge/tests/config_versions.rs
+++ b/crates/verbenahinge/tests/config_versions.rs
@@ -1,8 +1,8 @@
 //! Checks that an accepted configuration version comes into force on every VM, and that no VM
 //! returns to an older one.
 
-use actix_http::Method;
 use futures_util::future::join_all;
+use hyper::Method;
 use serde_json::{Value, json};
 use verbenahinge_testkit::{Fleet, FleetOptions, Response};
 
--- a/crates/verbenahinge/tests/graceful_drain.rs
+++ b/crates/verbenahinge/tests/graceful_drain.rs
@@ -50,7 +50,7 @@
         .collect();
     list.push(json!({"address": leaving, "state": "leaving", "backend": true}));
     let platform = verbenahinge_testkit::Client::new(fleet.platform.address(), "");
-    let put = actix_http::Method::PUT;
+    let put = hyper::Method::PUT;
     let answer = platform.send(put, "/vms", Some(&Value::from(list))).await;
     assert_eq!(answer.status, 204);
     actix_rt::time::sleep(std::time::Duration::from_secs(3)).await;
