fix(gateway): calls to a silent store do not grow with the fleet

Ruled out by the test: the checks of the first watchers alone, which cost 16 VMs 259 calls.

Change: ten VMs watch and check once replicas are no longer fresh. The others call by turns, 0.2 s apart, from 4 s on, and check nothing beside the call.

--- a/crates/verbenahinge-core/src/gateway/feed.rs
+++ b/crates/verbenahinge-core/src/gateway/feed.rs
@@ -2,8 +2,9 @@
 //! store for them.
 //!
 //! Load pattern: many VMs that need the same changes from a store that bills each call and limits
-//! its rate. A few VMs watch the store and forward changes to the others; as replicas become
-//! stale, more VMs watch, up to all of them. See `docs/design/feeds.md`.
+//! its rate, and that may answer none of them for seconds. A few VMs watch the store and forward changes to the
+//! others; as replicas become stale, a few more watch, and then all VMs by turns. See
+//! `docs/design/feeds.md`.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,8 +21,18 @@
 /// the store at once, which rarely includes all five.
 const WATCHER_COUNT: usize = 5;
 
-/// Factor by which the number of watchers grows once replicas are no longer fresh.
-const WATCHER_GROWTH: usize = 4;
+/// VMs that watch the store once replicas are no longer fresh, and that check it beside their watches. If the
+/// store answers none of them, they make fewer calls than the largest fleet in which every VM watches.
+const STALE_WATCHER_COUNT: usize = WATCHER_COUNT * 2;
+
+/// Age of a replica from which the other VMs call the store by turns: all watchers may have lost it.
+const TURNS_MIN_AGE: Duration = FRESH_MAX_AGE.saturating_mul(2);
+
+/// Time between the turns of two VMs.
+const TURN_SPACING: Duration = Duration::from_millis(200);
+
+/// Time in which a VM makes its call, once it has its turn.
+const TURN_TIME: Duration = Duration::from_millis(300);
 
 /// Time that one watch request waits for a change if every VM watches.
 const WATCH_TIMEOUT_ALL: Duration = Duration::from_secs(4);
@@ -90,7 +101,8 @@
 /// Whether a VM watches the store itself.
 ///
 /// `rank` is its position among the `vms` live VMs, in an order that all of them agree on; `age` is
-/// the age of its replica.
+/// the age of its replica. A response to any VM makes the replicas of all others fresh again by its digests, so
+/// that the number of calls does not grow with the fleet while the store answers none.
 #[must_use]
 pub fn watches_store(rank: usize, vms: usize, age: Option<Duration>) -> bool {
     let Some(age) = age else {
@@ -102,10 +114,27 @@
     if age <= FRESH_MAX_AGE {
         return rank < WATCHER_COUNT;
     }
-    if age <= FRESH_MAX_AGE * 2 {
-        return rank < WATCHER_COUNT * WATCHER_GROWTH;
+    if rank < STALE_WATCHER_COUNT {
+        return true;
     }
-    true
+    let Some(since_turns) = age.checked_sub(TURNS_MIN_AGE) else {
+        return false;
+    };
+    has_turn(since_turns, rank - STALE_WATCHER_COUNT, vms)
+}
+
+/// Whether the VM at a position behind the watchers has its turn.
+fn has_turn(since_turns: Duration, position: usize, vms: usize) -> bool {
+    let spacing = TURN_SPACING.as_millis();
+    let turns = vms.saturating_sub(STALE_WATCHER_COUNT).max(position + 1) as u128;
+    let into_cycle = since_turns.as_millis() % (spacing * turns);
+    let begins = spacing * position as u128;
+    (begins..begins + TURN_TIME.as_millis()).contains(&into_cycle)
+}
+
+/// Whether a VM reads a table beside a watch that has not been answered.
+pub(super) const fn checks_store(rank: usize, vms: usize) -> bool {
+    all_watch(vms) || rank < STALE_WATCHER_COUNT
 }
 
 /// Whether every VM of a fleet watches the store.
--- a/crates/verbenahinge-core/src/gateway/store_check.rs
+++ b/crates/verbenahinge-core/src/gateway/store_check.rs
@@ -2,11 +2,12 @@
 //!
 //! Load pattern: connections to the store that go silent without an end, for one VM or for all at the same
 //! moment, and a store that never answers the calls that it got while it was away. A watch that
-//! waits for a change looks the same in both cases. See `docs/design/feeds.md`.
+//! waits for a change looks the same in both cases. In a large fleet only the watchers check, as a store that
+//! answers nobody would get calls from hundreds of VMs. See `docs/design/feeds.md`.
 
 use std::time::Duration;
 
-use super::feed::FRESH_MAX_AGE;
+use super::feed::{FRESH_MAX_AGE, checks_store};
 use crate::Timestamp;
 
 /// Time for one lost digest, or for the response of a slow store.
@@ -35,6 +36,7 @@
     called_at: Timestamp,
     last_check_at: Option<Timestamp>,
     checks: u32,
+    is_enabled: bool,
 }
 
 impl StoreCheck {
@@ -45,15 +47,23 @@
             called_at: now,
             last_check_at: None,
             checks: 0,
+            is_enabled: true,
         }
     }
 
+    /// Sets the position of the VM in the order of watchers of a fleet with `vms` live VMs.
+    #[must_use]
+    pub const fn watcher(mut self, rank: usize, vms: usize) -> Self {
+        self.is_enabled = checks_store(rank, vms);
+        self
+    }
+
     /// Time until the next check, if the replica does not become fresher by then; zero if it is due.
     ///
     /// `age` is the age of the replica, `pending` the number of checks without a response.
     #[must_use]
     pub fn wait(&self, now: Timestamp, age: Option<Duration>, pending: usize) -> Duration {
-        if pending >= MAX_PENDING_CHECKS {
+        if !self.is_enabled || pending >= MAX_PENDING_CHECKS {
             return CHECK_INTERVAL;
         }
         let until_stale = age.map_or(Duration::ZERO, |age| CHECK_AGE.saturating_sub(age));
--- a/crates/verbenahinge/src/gateway/watch/checked_read.rs
+++ b/crates/verbenahinge/src/gateway/watch/checked_read.rs
@@ -44,7 +44,8 @@
     needs_snapshot: bool,
 ) -> CheckedRead {
     let sent_at = gateway.now();
-    let mut pacing = StoreCheck::new(sent_at);
+    let vms = gateway.peers.live_count(sent_at) + 1;
+    let mut pacing = StoreCheck::new(sent_at).watcher(gateway.peers.watcher_rank(sent_at), vms);
     let mut checks = FuturesUnordered::new();
     let mut failure = None;
     let checked = {
