fix(gateway): a response that another VM passes on ends at its request's deadline

A VM that had handed a request over waited without limit for the body of the response, so that a VM which stood still held the caller for good.

Cause: PassingBody read frames without a time limit; the limits of silent servers count for servers only. Ruled out: keepalive, which the kernel of a stopped process answers.

Change: reading ends with the deadline of the request, as a response that breaks off.

Evidence: standing_vm_holds_callers (the other VM is stopped after 1 s, the deadline is 2.5 s) got no end within 20 s before and passes now.

--- a/crates/verbenahinge/src/gateway/peer_relay.rs
+++ b/crates/verbenahinge/src/gateway/peer_relay.rs
@@ -227,19 +227,26 @@
         loop {
             // `None` after an error, which ends the body.
             let connection = self.connection.as_ref()?;
-            match self.body.frame().await {
-                Some(Ok(frame)) => {
+            let time_left = self.handler.call.time_left(self.handler.gateway.now());
+            match verbenahinge_http::timeout(time_left, self.body.frame()).await {
+                Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
                         connection.framing_limit().reset();
                         return Some(Ok(data));
                     }
                 }
-                Some(Err(error)) => {
+                Ok(Some(Err(error))) => {
                     self.connection = None;
                     self.record("broken_off", &error.to_string());
                     return Some(Err(IncompleteResponse));
                 }
-                None => {
+                // The other VM ends earlier, unless it stands still.
+                Err(error) => {
+                    self.connection = None;
+                    self.record("broken_off", &error.to_string());
+                    return Some(Err(IncompleteResponse));
+                }
+                Ok(None) => {
                     if let Some(connection) = self.connection.take() {
                         connection.release(None, false);
                     }
--- a/crates/verbenahinge/tests/cut_off_vms.rs
+++ b/crates/verbenahinge/tests/cut_off_vms.rs
@@ -193,3 +193,37 @@
         actix_rt::time::sleep(Duration::from_millis(100)).await;
     }
 }
+
+/// Guards against a caller that waits past its deadline for a VM which has taken its request over and stands
+/// still in the middle of the response.
+#[actix_rt::test]
+async fn standing_vm_holds_callers() {
+    let mut fleet = start(2).await;
+    cut_off(&fleet, Some(0), Cut::Reset).await;
+    settle(&fleet, 0, "cut").await;
+    for server in 0..SERVERS {
+        let faults = ServerFaults {
+            work_ms: 100,
+            events: 1000,
+            cut_off: Some(fleet.listen_address(0).ip()),
+            cuts_open_connections: true,
+            ..ServerFaults::default()
+        };
+        fleet.set_server_faults(server, &faults).await;
+    }
+    let request = GatewayRequest::new("held", "/single/x").prompt(1, 9);
+    let request = request.deadline_ms(2500);
+    let address = fleet.listen_address(0);
+    let call = actix_rt::spawn(async move {
+        let connection = CallerConnection::open(address).await;
+        connection.expect("a connection").call(&request).await
+    });
+    actix_rt::time::sleep(Duration::from_secs(1)).await;
+    fleet.vm_process(1).suspend();
+    let ended = tokio::time::timeout(Duration::from_secs(20), call).await;
+    fleet.vm_process(1).resume();
+    let response = ended.expect("the response does not end");
+    let response = response.expect("the call ends").expect("a response");
+    assert_eq!((response.status, response.is_complete), (200, false));
+    assert!(!response.event_ids().is_empty());
+}
