fix(gateway): an announced idle timeout of many years does not end a caller's connection

A server that sent Keep-Alive: timeout= made the caller's connection end with a panic, after the response had been read.

Cause: the timeout was added to an Instant, which overflows. Change: idle timeouts count as a minute at most. Looked for elsewhere: Retry-After is held to a Duration and only compared.

Evidence: endless_idle_timeout_ends_connection lost its connection before (panic in std time.rs) and passes now.

--- a/crates/verbenahinge-emulator/src/scripted_server/response.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/response.rs
@@ -86,6 +86,14 @@
         }
     }
 
+    /// Header line with the idle timeout of the connection; empty if there is none.
+    fn keep_alive_header(self) -> String {
+        match self.faults.keep_alive_s {
+            0 => String::new(),
+            seconds => format!("keep-alive: timeout={seconds}\r\n"),
+        }
+    }
+
     /// Header line with the time that the client is asked to wait; empty if there is none.
     fn retry_after_header(self) -> String {
         let retry_after_s = self.faults.retry_after_s;
@@ -101,9 +109,10 @@
         let body = format!("answer to {}", self.request.request_id);
         let [running, waiting, slots] = load;
         let headers = format!(
-            "{}{}{}: {running},{waiting},{slots}\r\n{}",
+            "{}{}{}{}: {running},{waiting},{slots}\r\n{}",
             self.signature_header(),
             self.limit_header(),
+            self.keep_alive_header(),
             http_headers::LOAD,
             self.faults.framing.plain_headers(body.len()),
         );
--- a/crates/verbenahinge-emulator/src/scripted_server/server_faults.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/server_faults.rs
@@ -26,6 +26,8 @@
     pub events: u64,
     /// Rate limit that responses name, in requests per second; 0 means none.
     pub limit_per_s: f64,
+    /// Idle timeout that plain responses announce, in seconds; 0 means none.
+    pub keep_alive_s: u64,
     /// Whether all responses say that the server leaves.
     pub is_leaving: bool,
     /// Time that rejections ask the client to wait, in seconds; 0 means that they do not.
--- a/crates/verbenahinge/src/gateway/connection_pool.rs
+++ b/crates/verbenahinge/src/gateway/connection_pool.rs
@@ -31,6 +31,9 @@
 /// Idle timeout of servers that announce none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Maximum idle timeout; servers that announce a longer one count as having this one.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_mins(1);
+
 /// Fraction of a server's idle timeout after which a connection is no longer reused, so that a
 /// request is not sent while the server closes the connection.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.6;
@@ -211,6 +214,7 @@
         }
         let timeout = idle_timeout
             .unwrap_or(DEFAULT_IDLE_TIMEOUT)
+            .min(MAX_IDLE_TIMEOUT)
             .mul_f64(IDLE_TIMEOUT_FRACTION);
         let expires_at = Instant::now() + timeout;
         let key = (self.server.clone(), self.address);
--- a/crates/verbenahinge/tests/gateway_responses.rs
+++ b/crates/verbenahinge/tests/gateway_responses.rs
@@ -1,7 +1,7 @@
 //! Responses and retries of the gateway when backend servers fail: a caller gets the complete
 //! response to its own request or a status that tells whether the request may have run.
 
-use verbenahinge_emulator::scripted_server::ServerFault;
+use verbenahinge_emulator::scripted_server::{ServerFault, ServerFaults};
 use verbenahinge_testkit::{CallerConnection, GatewayFleet, GatewayFleetOptions, GatewayRequest};
 
 const BIN: &str = env!("CARGO_BIN_EXE_verbenahinge");
@@ -151,3 +151,25 @@
     let response = fleet.call(0, &GatewayRequest::new("r1", "/read/x")).await;
     assert_eq!((response.status, response.is_signed()), (500, true));
 }
+
+/// Guards against a caller's connection that ends because a server announces an idle timeout of many years.
+#[actix_rt::test]
+async fn endless_idle_timeout_ends_connection() {
+    let fleet = start().await;
+    for server in 0..2 {
+        let faults = ServerFaults {
+            keep_alive_s: u64::MAX,
+            ..ServerFaults::default()
+        };
+        fleet.set_server_faults(server, &faults).await;
+    }
+    let mut connection = CallerConnection::open(fleet.listen_address(0))
+        .await
+        .expect("a connection to the VM");
+    for count in 0..4 {
+        let id = format!("r{count}");
+        let request = GatewayRequest::new(&id, "/once/x");
+        let response = connection.call(&request).await.expect("a response");
+        assert_eq!(response.body, format!("answer to {id}"));
+    }
+}
