fix(gateway): entries that lapsed in an outage which only other VMs saw are not taken for removed

Change: a confirmation by another VM after a gap in which entries can lapse opens the same 1.9 s as a response to a call of its own.

Evidence: others_outage_lapses_entries in store_outages; before, there was no call for a confirmation and record_read returned no gap. A real removal in that time stays in use for up to 1.9 s, as after an outage that the VM saw itself.

--- a/crates/verbenahinge-core/src/gateway/store_contact.rs
+++ b/crates/verbenahinge-core/src/gateway/store_contact.rs
@@ -85,6 +85,22 @@
         }
     }
 
+    /// Records that another VM read the table at `read_at` and confirmed the replica, which was `replica_age` old
+    /// by then.
+    ///
+    /// After a time in which entries can have lapsed, the store may have been away, and entries that a read finds
+    /// missing shortly after its return may come back.
+    pub fn record_confirmation(
+        &mut self,
+        read_at: Timestamp,
+        replica_age: Option<Duration>,
+        heartbeat: Duration,
+    ) {
+        if replica_age.is_some_and(|age| age >= heartbeat * MIN_LAPSE_HEARTBEATS) {
+            self.lapses_until = self.lapses_until.max(Some(read_at + REREGISTER_GRACE));
+        }
+    }
+
     /// Records a response; returns what it tells about missing entries.
     ///
     /// `replica_age` is the time since the replica was last known to be up to date, be it from
--- a/crates/verbenahinge-core/tests/store_outages.rs
+++ b/crates/verbenahinge-core/tests/store_outages.rs
@@ -113,3 +113,23 @@
     let changes = replica().apply_changes(at(1300), 2.into(), rows, StoreGap::Brief);
     assert_eq!(changes, missing.map(|key| change(key, RowState::Lapsed)));
 }
+
+/// Guards against a VM that takes entries for removed which lapsed in an outage that other VMs saw the end of: it
+/// reads the table shortly afterwards, because one of them announced it.
+#[test]
+fn others_outage_lapses_entries() {
+    let mut contact = StoreContact::new();
+    let returned_at = at(20_000);
+    contact.record_confirmation(returned_at, Some(at(5000)), HEARTBEAT);
+    let read = |contact: &mut StoreContact, after| {
+        contact.record_read(returned_at + after, Some(at(100)), HEARTBEAT)
+    };
+    assert_eq!(read(&mut contact, at(300)), StoreGap::Long);
+    assert_eq!(read(&mut contact, REREGISTER_GRACE), StoreGap::None);
+    // Digests that come late are no outage.
+    contact.record_confirmation(at(40_000), Some(at(900)), HEARTBEAT);
+    assert_eq!(
+        contact.record_read(at(40_100), Some(at(100)), HEARTBEAT),
+        StoreGap::None
+    );
+}
--- a/crates/verbenahinge/src/gateway/peers/feeds.rs
+++ b/crates/verbenahinge/src/gateway/peers/feeds.rs
@@ -140,7 +140,7 @@
     let age = Duration::from_millis(u64::from(message.age_ms));
     gateway
         .replicas
-        .with(feed, |replica| replica.confirm_current(now, version, age));
+        .confirm_current(gateway, feed, version, age);
 }
 
 /// Fetches the changes of a table since a version, or the whole table, from a VM whose replica is
--- a/crates/verbenahinge/src/gateway/watch.rs
+++ b/crates/verbenahinge/src/gateway/watch.rs
@@ -133,6 +133,31 @@
         self.with_contact(feed, |contact| contact.record_read(now, age, heartbeat))
     }
 
+    /// Records that another VM knows `version` as the last change of a table `age` ago.
+    pub(super) fn confirm_current(
+        &self,
+        gateway: &Gateway,
+        feed: Feed,
+        version: StoreVersion,
+        age: Duration,
+    ) {
+        let now = gateway.now();
+        let (before, after) = self.with(feed, |replica| {
+            let before = replica.age(now);
+            replica.confirm_current(now, version, age);
+            (before, replica.age(now))
+        });
+        let (Some(before), Some(after)) = (before, after) else {
+            return;
+        };
+        let heartbeat = gateway.settings.borrow().bounds.server_heartbeat;
+        let read_at = now.saturating_sub(after);
+        let replica_age = before.saturating_sub(after);
+        self.with_contact(feed, |contact| {
+            contact.record_confirmation(read_at, Some(replica_age), heartbeat);
+        });
+    }
+
     /// Runs a closure with exclusive access to the replica of a table.
     pub(crate) fn with<T>(&self, feed: Feed, access: impl FnOnce(&mut TableReplica) -> T) -> T {
         let mut by_feed = self.by_feed.borrow_mut();
--- a/crates/verbenahinge/tests/cut_responses.rs
+++ b/crates/verbenahinge/tests/cut_responses.rs
@@ -2,6 +2,7 @@
 //! caller never gets a part of a response as a whole one.
 
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use futures_util::StreamExt;
 use futures_util::stream;
@@ -25,6 +26,9 @@
 /// Events of a whole stream.
 const EVENTS: u64 = 3;
 
+/// Time after which a VM knows that it is cut off from the servers.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
 /// Requests that are sent at the same time.
 const CONCURRENCY: usize = 16;
 
@@ -105,9 +109,15 @@
 }
 
 /// Cuts the responses to requests on a path after each byte, and checks those that look whole.
-async fn cut_everywhere(fleet: &GatewayFleet, framing: Framing, path: &str, max_bytes: usize) {
+async fn cut_everywhere(
+    fleet: &GatewayFleet,
+    server_faults: &ServerFaults,
+    path: &str,
+    max_bytes: usize,
+) {
+    let framing = server_faults.framing;
     for server in 0..2 {
-        fleet.set_server_faults(server, &faults(framing)).await;
+        fleet.set_server_faults(server, server_faults).await;
     }
     let cuts = cuts(max_bytes);
     let sent = cuts.len();
@@ -146,16 +156,55 @@
     let fleet = GatewayFleet::start(BIN, GatewayFleetOptions::new(CONFIG)).await;
     for framing in [Framing::Declared, Framing::Chunked, Framing::UntilClose] {
         for path in ["/read/x", "/once/x"] {
-            cut_everywhere(&fleet, framing, path, MAX_PLAIN_BYTES).await;
+            cut_everywhere(&fleet, &faults(framing), path, MAX_PLAIN_BYTES).await;
         }
     }
     for framing in [Framing::Declared, Framing::UntilClose] {
         for path in ["/stream/x", "/single/x"] {
-            cut_everywhere(&fleet, framing, path, MAX_STREAM_BYTES).await;
+            cut_everywhere(&fleet, &faults(framing), path, MAX_STREAM_BYTES).await;
         }
     }
 }
 
+/// Guards against a part of a server's response that the caller gets as a whole one from a VM that handed
+/// its request over.
+#[actix_rt::test]
+async fn handed_over_cut_responses() {
+    let fleet = GatewayFleet::start(BIN, GatewayFleetOptions::new(CONFIG).vms(2)).await;
+    let cut_off = ServerFaults {
+        cut_off: Some(fleet.listen_address(0).ip()),
+        cuts_open_connections: true,
+        ..ServerFaults::default()
+    };
+    for server in 0..2 {
+        fleet.set_server_faults(server, &cut_off).await;
+    }
+    let started = Instant::now();
+    let mut count = 0;
+    while started.elapsed() < SETTLE_TIME {
+        count += 1;
+        let request = GatewayRequest::new(format!("settle-{count}"), "/read/x");
+        fleet.call(0, &request).await;
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+    }
+    for framing in [Framing::Declared, Framing::Chunked] {
+        let server_faults = ServerFaults {
+            cut_off: cut_off.cut_off,
+            cuts_open_connections: true,
+            ..faults(framing)
+        };
+        cut_everywhere(&fleet, &server_faults, "/once/x", MAX_PLAIN_BYTES).await;
+    }
+    let server_faults = ServerFaults {
+        cut_off: cut_off.cut_off,
+        cuts_open_connections: true,
+        ..faults(Framing::Declared)
+    };
+    for path in ["/stream/x", "/single/x"] {
+        cut_everywhere(&fleet, &server_faults, path, MAX_STREAM_BYTES).await;
+    }
+}
+
 /// A fleet of the own interface whose plain service cuts its responses off.
 struct CutService {
     fleet: Fleet,
