--- a/crates/verbenahinge/src/gateway/crash_store.rs
+++ b/crates/verbenahinge/src/gateway/crash_store.rs
@@ -14,7 +14,7 @@
 use verbenahinge_core::hash::jitter;
 use verbenahinge_core::quarantine::RECORD_TTL;
 use verbenahinge_platform::quarantine;
-use verbenahinge_platform::store::{QUARANTINE_TABLE, StoreClient, StoreError};
+use verbenahinge_platform::store::{QUARANTINE_TABLE, StoreClient, StoreError, TRIAL_TABLE};
 
 use super::crash_check::{self, BlameSource, hex};
 use super::{Gateway, peers};
@@ -150,7 +150,9 @@
     merge_records(gateway, &records, "store");
     for &fingerprint in &stored {
         if gateway.state.borrow().crash_guard().is_cleared(fingerprint) {
-            expired.push(quarantine::row_key(fingerprint));
+            let key = quarantine::row_key(fingerprint);
+            store.remove(TRIAL_TABLE, &key).await?;
+            expired.push(key);
         }
     }
     for key in expired {
--- a/crates/verbenahinge/src/gateway/peers/feeds.rs
+++ b/crates/verbenahinge/src/gateway/peers/feeds.rs
@@ -122,7 +122,6 @@
     let Some(feed) = feed_from_number(message.feed) else {
         return;
     };
-    let now = gateway.now();
     let version = StoreVersion::new(message.era, message.version);
     if let Some(delta) = message.delta {
         let large_config = watch::apply_peer_delta(gateway, from, feed, &delta.into_delta());
--- a/crates/verbenahinge/tests/cleared_requests.rs
+++ b/crates/verbenahinge/tests/cleared_requests.rs
@@ -146,3 +146,55 @@
     assert!(line.contains("quarantined=true"), "{line}");
     wait_for_rows(&fleet, 1).await;
 }
+
+/// Guards against a request that may run once, ran at two servers which were lost together, and is refused by all
+/// VMs for ten minutes, though its server would answer it.
+#[actix_rt::test]
+async fn lost_together_refused() {
+    let config = CONFIG.replace("\"timeout_ms\": 1000", "\"timeout_ms\": 20000");
+    let options = GatewayFleetOptions::new(config).vms(2).servers(0);
+    let mut fleet = GatewayFleet::start(BIN, options).await;
+    for id in ["first", "second"] {
+        fleet
+            .add_server_with(id, "service", &["--work-ms", SLOW_MS])
+            .await;
+        let added = format!("server={id} change=added");
+        fleet.wait_for_log(0, &added).await;
+    }
+    let mut sent = Vec::new();
+    while sent.len() < 8 {
+        let address = fleet.listen_address(0);
+        let id = format!("lost-{}", sent.len());
+        sent.push(actix_rt::spawn(
+            async move { call(address, &ping(&id)).await },
+        ));
+    }
+    for server in 0..2 {
+        while fleet.runs(server).await.is_empty() {
+            actix_rt::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+    for server in 0..2 {
+        fleet.server_process(server).kill();
+    }
+    for vm in 0..2 {
+        fleet.wait_for_log(vm, "quarantined=true").await;
+    }
+    fleet.add_server("sound", "service").await;
+    for vm in 0..2 {
+        fleet.wait_for_log(vm, "server=sound change=added").await;
+    }
+    let refused = fleet.call(1, &ping("refused")).await;
+    assert_eq!(refused.status, 503, "{}", refused.body);
+    let delay = refused.retry_after_s().expect("a Retry-After header");
+    assert!(delay <= 5.0, "{delay}");
+    fleet.wait_for_status(1, &ping("tried"), 200).await;
+    for vm in 0..2 {
+        fleet.wait_for_status(vm, &ping("free"), 200).await;
+    }
+    let runs = fleet.runs(2).await;
+    let tried = runs.iter().filter(|run| run.request_id == "tried");
+    assert_eq!(tried.count(), 1);
+    wait_for_rows(&fleet, 0).await;
+    assert!(fleet.store_keys("trials").await.is_empty());
+}
