fix(gateway): a silent server is given up once the next one runs the request

Cause: the silent attempt stayed open until the second engine's first event, 0.53 s after its first token under load, as an event holds several tokens. Ruled out: closing it when the request is sent elsewhere, which loses the answer whenever the second server rejects or fails it (docs/incidents/silence-ends-answers.md).

--- a/crates/verbenahinge-emulator/src/scripted_server.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server.rs
@@ -393,6 +393,11 @@
             let run = self.begin_run(request);
             let result = self.send_events(stream, request, fault, &run).await;
             self.end_run(request, &run);
+            if result.is_err()
+                && let Some(executed) = self.executed_requests.borrow_mut().get_mut(record_index)
+            {
+                executed.was_closed = true;
+            }
             result?;
         } else {
             let bytes = responder.complete(load);
--- a/crates/verbenahinge-emulator/src/scripted_server/events.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/events.rs
@@ -23,6 +23,7 @@
         let event_interval = Duration::from_millis(faults.work_ms);
         let head = self.responder(request).stream_head();
         stream.write_all(&head).await?;
+        wait(stream, Duration::from_millis(faults.first_event_ms)).await?;
         let first = request.last_event + 1;
         for id in first..=faults.events {
             let event = response::event(id, &self.options.id);
@@ -78,7 +79,9 @@
         stream.write_all(&framing.encode(half)).await?;
     }
     match fault {
-        ServerFault::Stall => return std::future::pending().await,
+        ServerFault::Stall => {
+            wait(stream, Duration::MAX).await?;
+        }
         ServerFault::Reset | ServerFault::ResetBetweenEvents => stream.set_zero_linger()?,
         ServerFault::EndInEvent => stream.write_all(framing.stream_end()).await?,
         ServerFault::CrashInEvent => std::process::exit(CRASH_EXIT_CODE),
--- a/crates/verbenahinge-emulator/src/scripted_server/server_faults.rs
+++ b/crates/verbenahinge-emulator/src/scripted_server/server_faults.rs
@@ -20,6 +20,8 @@
     pub times: u32,
     /// Time before each response and after each event, in milliseconds.
     pub work_ms: u64,
+    /// Time from the head of a stream to its first event, in milliseconds.
+    pub first_event_ms: u64,
     /// Length of a pause, in milliseconds.
     pub pause_ms: u64,
     /// Number of events in a complete stream.
--- a/crates/verbenahinge/src/gateway/attempt_race.rs
+++ b/crates/verbenahinge/src/gateway/attempt_race.rs
@@ -2,10 +2,13 @@
 //!
 //! A server that sends nothing for a while may be sound and go on. Its attempt stays open while the
 //! request is tried at another server, and the first server that answers is used. The other attempts
-//! end with the race, which closes their connections. See `docs/design/retry.md`.
+//! end with the race, or shortly after a later server has begun to run the request, which closes their
+//! connections. See `docs/design/retry.md`.
 
+use std::cell::Cell;
 use std::future::poll_fn;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -14,6 +17,10 @@
 use super::Gateway;
 use super::attempt::AttemptError;
 
+/// Time after which a server that runs a request ends the attempts before it. An engine may take longer from its
+/// first token to its first event, and two of them must not work on one request for 0.4 s.
+const OVERLAP_TIME: Duration = Duration::from_millis(250);
+
 type AttemptFuture<T> = Pin<Box<dyn Future<Output = Result<T, AttemptError>>>>;
 
 /// What shows that a server is not silent.
@@ -56,12 +63,26 @@
     }
 }
 
+/// When a server began to run a request, as the head of its response tells.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RunStart(Rc<Cell<Option<Timestamp>>>);
+
+impl RunStart {
+    /// Records that the head of the response has arrived.
+    pub(super) fn record(&self, now: Timestamp) {
+        self.0.set(Some(now));
+    }
+}
+
 /// An attempt in flight.
 pub(super) struct RunningAttempt<T> {
     server: ServerName,
     future: AttemptFuture<T>,
     silence_timeout: Option<SilenceTimeout>,
     was_silent: bool,
+    run_start: RunStart,
+    /// Whether the race knows when the server began to run the request.
+    has_begun: bool,
 }
 
 impl<T> RunningAttempt<T> {
@@ -76,9 +97,17 @@
             future: Box::pin(future),
             silence_timeout,
             was_silent: false,
+            run_start: RunStart::default(),
+            has_begun: false,
         }
     }
 
+    /// Sets where the future records that the server runs the request.
+    pub(super) fn run_start(mut self, run_start: RunStart) -> Self {
+        self.run_start = run_start;
+        self
+    }
+
     /// Creates an attempt whose server has been silent already.
     pub(super) fn silent(
         server: ServerName,
@@ -111,6 +140,13 @@
     },
 }
 
+/// What happened to the attempts of a race.
+enum Polled<T> {
+    Ended(EndedAttempt<T>),
+    /// A server has begun to run the request.
+    Begun,
+}
+
 /// Attempts of one request that are in flight, in the order of their start.
 pub(super) struct AttemptRace<T> {
     attempts: Vec<RunningAttempt<T>>,
@@ -142,10 +178,13 @@
     /// Waits until an attempt ends or the server of the latest one is silent.
     pub(super) async fn next(&mut self, gateway: &Gateway) -> RaceEvent<T> {
         loop {
-            let time_left = self.time_until_silent(gateway);
-            let ended = poll_fn(|context| self.poll_ended(context));
-            if let Ok(ended) = verbenahinge_http::timeout(time_left, ended).await {
-                return RaceEvent::Ended(ended);
+            let until_superseded = self.end_superseded(gateway.now());
+            let time_left = self.time_until_silent(gateway).min(until_superseded);
+            let polled = poll_fn(|context| self.poll_attempts(context));
+            match verbenahinge_http::timeout(time_left, polled).await {
+                Ok(Polled::Ended(ended)) => return RaceEvent::Ended(ended),
+                Ok(Polled::Begun) => continue,
+                Err(_) => {}
             }
             if !self.time_until_silent(gateway).is_zero() {
                 continue;
@@ -171,19 +210,44 @@
         })
     }
 
-    fn poll_ended(&mut self, context: &mut Context<'_>) -> Poll<EndedAttempt<T>> {
+    /// Ends the attempts before one whose server has run the request for [`OVERLAP_TIME`]; returns the time until
+    /// there are such.
+    fn end_superseded(&mut self, now: Timestamp) -> Duration {
+        let mut next = Duration::MAX;
+        for index in (1..self.attempts.len()).rev() {
+            let Some(begun_at) = self.attempts[index].run_start.0.get() else {
+                continue;
+            };
+            let time_left = (begun_at + OVERLAP_TIME).saturating_sub(now);
+            if time_left.is_zero() {
+                self.attempts.drain(..index);
+                break;
+            }
+            next = next.min(time_left);
+        }
+        next
+    }
+
+    fn poll_attempts(&mut self, context: &mut Context<'_>) -> Poll<Polled<T>> {
+        let mut has_new = false;
         for (index, attempt) in self.attempts.iter_mut().enumerate() {
             let Poll::Ready(result) = attempt.future.as_mut().poll(context) else {
+                let has_begun = attempt.run_start.0.get().is_some();
+                has_new |= has_begun && !attempt.has_begun;
+                attempt.has_begun = has_begun;
                 continue;
             };
             let RunningAttempt {
                 server, was_silent, ..
             } = self.attempts.remove(index);
-            return Poll::Ready(EndedAttempt {
+            return Poll::Ready(Polled::Ended(EndedAttempt {
                 server,
                 result,
                 was_silent,
-            });
+            }));
+        }
+        if has_new {
+            return Poll::Ready(Polled::Begun);
         }
         Poll::Pending
     }
--- a/crates/verbenahinge/src/gateway/relay.rs
+++ b/crates/verbenahinge/src/gateway/relay.rs
@@ -2,7 +2,7 @@
 //!
 //! Only complete events are forwarded, so that an interrupted stream can resume at another server
 //! after the last event that the caller has received. A silent server keeps its connection until
-//! another one has an event, since it may be sound and go on.
+//! another one runs the request, since it may be sound and go on.
 
 mod continuation;
 
@@ -18,7 +18,7 @@
 use verbenahinge_platform::http_headers;
 
 use super::attempt::{AttemptError, BufferedResponse, OpenResponse, ResumePoint};
-use super::attempt_race::{AttemptRace, RunningAttempt, SignOfLife, SilenceTimeout};
+use super::attempt_race::{AttemptRace, RunStart, RunningAttempt, SignOfLife, SilenceTimeout};
 use super::event_splitter::RawEvent;
 use super::request_handler::RequestHandler;
 use super::request_handler::attempts::{RetryDecision, Unserved};
@@ -73,7 +73,9 @@
     });
     let server = choice.server.clone();
     let choice = choice.clone();
-    RunningAttempt::new(server, silence_timeout, async move {
+    let run_start = RunStart::default();
+    let begun = run_start.clone();
+    let attempt = RunningAttempt::new(server, silence_timeout, async move {
         let response = gateway
             .send_request(&call, &request, &choice, &resume, deadline)
             .await?;
@@ -81,9 +83,11 @@
             let response = gateway.buffer_response(response, deadline).await?;
             return Ok(ServerReply::Buffered(Box::new(response)));
         }
+        begun.record(gateway.now());
         let stream = ServerStream::new(gateway, response, attempt_guard, deadline);
         read_reply(Box::new(stream)).await
-    })
+    });
+    attempt.run_start(run_start)
 }
 
 fn is_stream(response: &OpenResponse) -> bool {
--- a/crates/verbenahinge/tests/attempt_races.rs
+++ b/crates/verbenahinge/tests/attempt_races.rs
@@ -299,3 +299,42 @@
     let (response, ()) = join(stalled, other).await;
     assert!(response.event_ids().len() >= 19);
 }
+
+/// Guards against a stalled server that works on a stream for as long as the next one takes from the head of its
+/// response to its first event.
+#[actix_rt::test]
+async fn stalled_server_works_on() {
+    let fleet = start(2).await;
+    let first = first_server(&fleet, 2).await;
+    set_fault(&fleet, first, ServerFault::Stall, 0).await;
+    let slow = ServerFaults {
+        first_event_ms: 60_000,
+        work_ms: 5,
+        events: 5,
+        ..ServerFaults::default()
+    };
+    fleet.set_server_faults(1 - first, &slow).await;
+    let address = fleet.listen_address(0);
+    let call = actix_rt::spawn(async move {
+        let connection = CallerConnection::open(address).await;
+        let request = stream_request("stalled");
+        connection.expect("a connection").call(&request).await
+    });
+    let was_closed = async || {
+        let runs = fleet.runs(first).await;
+        runs.iter()
+            .any(|run| run.request_id == "stalled" && run.was_closed)
+    };
+    while !was_closed().await {
+        assert!(
+            !call.is_finished(),
+            "the stalled server worked until the end of the call"
+        );
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert!(
+        !call.is_finished(),
+        "the stalled server worked until the end of the call"
+    );
+    call.abort();
+}
