--- a/crates/verbenahinge-core/tests/request_crashes.rs
+++ b/crates/verbenahinge-core/tests/request_crashes.rs
@@ -59,7 +59,7 @@
     assert!(!early.may_be_tried);
     assert_eq!(
         early.time_left,
-        OUTSIDE_CAUSE_DELAY - Duration::from_secs(1)
+        OUTSIDE_CAUSE_DELAY.saturating_sub(Duration::from_secs(1))
     );
     let due = at(60) + OUTSIDE_CAUSE_DELAY;
     assert!(refusal(&guard, due).may_be_tried);
--- a/crates/verbenahinge/src/gateway.rs
+++ b/crates/verbenahinge/src/gateway.rs
@@ -63,7 +63,6 @@
 use self::connection_pool::ConnectionPool;
 use self::crash_check::{BlameSource, CrashChecks};
 use self::crash_store::CrashStore;
-use self::crash_trials::CrashTrials;
 use self::duties::Duties;
 use self::frontend::Ingress;
 use self::metrics::GatewayMetrics;
@@ -98,7 +97,6 @@
     pub(crate) replicas: Replicas,
     pub(crate) crash_checks: CrashChecks,
     pub(crate) crash_store: CrashStore,
-    pub(crate) crash_trials: CrashTrials,
     pub(crate) software_store: SoftwareStore,
     pub(crate) stream_mover: StreamMover,
     pub(crate) stream_store: StreamStore,
@@ -206,7 +204,6 @@
         replicas: Replicas::new(),
         crash_checks: CrashChecks::default(),
         crash_store: CrashStore::new(),
-        crash_trials: CrashTrials::default(),
         software_store: SoftwareStore::default(),
         stream_mover: StreamMover::default(),
         stream_store: StreamStore::default(),
--- a/crates/verbenahinge/src/gateway/crash_store.rs
+++ b/crates/verbenahinge/src/gateway/crash_store.rs
@@ -17,6 +17,7 @@
 use verbenahinge_platform::store::{QUARANTINE_TABLE, StoreClient, StoreError, TRIAL_TABLE};
 
 use super::crash_check::{self, BlameSource, hex};
+use super::crash_trials::CrashTrials;
 use super::{Gateway, peers};
 use crate::event_log::LogEvent;
 
@@ -39,6 +40,8 @@
     era: Cell<Option<u64>>,
     needs_sync: Cell<SyncNeed>,
     notify: Notify,
+    /// Claims of trials that this VM has asked for.
+    pub(super) trials: CrashTrials,
 }
 
 /// How soon the records have to be compared with the store.
@@ -57,6 +60,7 @@
             era: Cell::new(None),
             needs_sync: Cell::new(SyncNeed::Now),
             notify: Notify::const_new(),
+            trials: CrashTrials::new(),
         }
     }
 
--- a/crates/verbenahinge/src/gateway/crash_trials.rs
+++ b/crates/verbenahinge/src/gateway/crash_trials.rs
@@ -20,12 +20,17 @@
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Suspects for which this VM has asked for a claim.
-#[derive(Default)]
-pub(crate) struct CrashTrials {
+pub(super) struct CrashTrials {
     asked_at: RefCell<BTreeMap<Fingerprint, Timestamp>>,
 }
 
 impl CrashTrials {
+    pub(super) const fn new() -> Self {
+        Self {
+            asked_at: RefCell::new(BTreeMap::new()),
+        }
+    }
+
     /// Notes that a claim is asked for; returns whether this VM has not done so lately.
     fn begin(&self, now: Timestamp, fingerprint: Fingerprint) -> bool {
         let mut asked_at = self.asked_at.borrow_mut();
@@ -42,7 +47,8 @@
 ///
 /// A claim holds as long as the record of the suspect, so that one server at most is lost to it.
 pub(super) async fn claim(gateway: &Gateway, request_id: &str, fingerprint: Fingerprint) -> bool {
-    if !gateway.crash_trials.begin(gateway.now(), fingerprint) {
+    let trials = &gateway.crash_store.trials;
+    if !trials.begin(gateway.now(), fingerprint) {
         return false;
     }
     let granted =
--- a/crates/verbenahinge/tests/cut_responses.rs
+++ b/crates/verbenahinge/tests/cut_responses.rs
@@ -223,8 +223,8 @@
             deadly_part: None,
         };
         actix_rt::spawn(scripted_server::run(listener, options));
-        let path = "/pools/forge/servers/service-0/address";
-        let patch = json!([{"op": "replace", "path": path, "value": address}]);
+        let target = "/pools/forge/servers/service-0/address";
+        let patch = json!([{"op": "replace", "path": target, "value": address}]);
         let operator = fleet.vm(0).operator();
         let response = operator
             .header("if-match", "\"1\"")
