revert: a request whose servers were lost together is tried again before ten minutes

Cause: the trial's claim is used up when the trial finds no server, so the request stays neither refused nor tried; and a deadly request whose retry crashes the next server at once cannot be told from a sound one, so the trial crashes a server after the quarantine, which the soak forbids.

--- a/crates/verbenahinge-core/src/gateway.rs
+++ b/crates/verbenahinge-core/src/gateway.rs
@@ -65,7 +65,7 @@
     ConnectionId, ConnectionUse, ConnectionView, connection_to_close, max_connections,
 };
 pub use self::caller_memory::{Admission, CallerMemory, HoldId, HoldOwner, SMALL_BODY_BYTES};
-pub use self::crash_guard::{CrashGuard, OUTSIDE_CAUSE_DELAY};
+pub use self::crash_guard::CrashGuard;
 pub use self::crash_record::CrashRecord;
 pub use self::crash_refusal::CrashRefusal;
 pub use self::duty::Duty;
--- a/crates/verbenahinge-core/src/gateway/crash_guard.rs
+++ b/crates/verbenahinge-core/src/gateway/crash_guard.rs
@@ -25,10 +25,6 @@
 /// Maximum number of records that are told at once after a crash, in several datagrams.
 const MAX_NEWS: usize = 320;
 
-/// Time from the crashes of servers that were lost together until one request that ran at them may be tried:
-/// the servers are back, or known to be gone.
-pub const OUTSIDE_CAUSE_DELAY: Duration = Duration::from_secs(5);
-
 /// One in this many requests runs with a part whose refusal has ended, until one succeeds or crashes.
 const TRIAL_SHARE: u64 = 64;
 
@@ -153,21 +149,10 @@
                         continue;
                     }
                     let time_left = trial.time_left(now);
-                    refusal = refusal.or(Some(CrashRefusal {
-                        suspect,
-                        time_left,
-                        may_be_tried: false,
-                    }));
+                    refusal = refusal.or(Some(CrashRefusal { suspect, time_left }));
                     continue;
                 }
                 let open = self.evidence.open_crashes(record);
-                if let Some(trial_at) = outside_cause_trial(suspect, &open) {
-                    return Some(CrashRefusal {
-                        suspect,
-                        time_left: time_until_trial(now, trial_at),
-                        may_be_tried: trial_at <= now,
-                    });
-                }
                 open.last().map_or(Duration::ZERO, |last| last.0) + RECORD_TTL
             } else if record.is_on_trial() && !is_trial(suspect, suspects) {
                 record.updated_at() + RECORD_TTL
@@ -177,7 +162,6 @@
             return Some(CrashRefusal {
                 suspect,
                 time_left: refused_until.saturating_sub(now),
-                may_be_tried: false,
             });
         }
         refusal
@@ -319,25 +303,6 @@
     }
 }
 
-/// Time from which one request without a prompt may be tried whose crashes were all at one moment, as servers
-/// that are lost together are. A deadly request whose retry crashes the next server at once looks the same, and
-/// costs one more server; its next crash is at another moment.
-fn outside_cause_trial(suspect: Suspect, open: &[(Timestamp, CrashId)]) -> Option<Timestamp> {
-    let &(latest, _) = open.last()?;
-    let is_one_moment = count_moments(open.iter().map(|&(at, _)| at)) == 1;
-    (suspect.scope == SuspectScope::Request && is_one_moment).then(|| latest + OUTSIDE_CAUSE_DELAY)
-}
-
-/// Time until a trial is due; once it is, the time in which another VM's trial ends.
-fn time_until_trial(now: Timestamp, trial_at: Timestamp) -> Duration {
-    let until_due = trial_at.saturating_sub(now);
-    if until_due.is_zero() {
-        OUTSIDE_CAUSE_DELAY
-    } else {
-        until_due
-    }
-}
-
 /// Whether a request is one of those that try a part whose refusal has ended.
 fn is_trial(part: Suspect, suspects: &[Suspect]) -> bool {
     let request = suspects.first().map_or(0, |request| request.fingerprint);
--- a/crates/verbenahinge-core/src/gateway/crash_refusal.rs
+++ b/crates/verbenahinge-core/src/gateway/crash_refusal.rs
@@ -11,7 +11,4 @@
     pub suspect: Suspect,
     /// Time for which it is still refused.
     pub time_left: Duration,
-    /// Whether one request may be tried under a claim in the store, as all crashes may have had one outside
-    /// cause.
-    pub may_be_tried: bool,
 }
--- a/crates/verbenahinge/src/event_log.rs
+++ b/crates/verbenahinge/src/event_log.rs
@@ -86,8 +86,6 @@
     CrashBlamed = 420,
     /// A request or a prompt part is no longer blamed for crashes.
     CrashBlameWithdrawn = 421,
-    /// A VM has asked for the claim to try a request whose servers were lost together.
-    CrashTrial = 422,
     /// A stream has moved to another engine.
     StreamMoved = 450,
     /// A call to move a stream had no effect, or its response was lost.
--- a/crates/verbenahinge/src/gateway.rs
+++ b/crates/verbenahinge/src/gateway.rs
@@ -17,7 +17,6 @@
 mod control;
 mod crash_check;
 mod crash_store;
-mod crash_trials;
 mod duties;
 mod event_splitter;
 mod framing_limit;
--- a/crates/verbenahinge/src/gateway/crash_store.rs
+++ b/crates/verbenahinge/src/gateway/crash_store.rs
@@ -14,10 +14,9 @@
 use verbenahinge_core::hash::jitter;
 use verbenahinge_core::quarantine::RECORD_TTL;
 use verbenahinge_platform::quarantine;
-use verbenahinge_platform::store::{QUARANTINE_TABLE, StoreClient, StoreError, TRIAL_TABLE};
+use verbenahinge_platform::store::{QUARANTINE_TABLE, StoreClient, StoreError};
 
 use super::crash_check::{self, BlameSource, hex};
-use super::crash_trials::CrashTrials;
 use super::{Gateway, peers};
 use crate::event_log::LogEvent;
 
@@ -40,8 +39,6 @@
     era: Cell<Option<u64>>,
     needs_sync: Cell<SyncNeed>,
     notify: Notify,
-    /// Claims of trials that this VM has asked for.
-    pub(super) trials: CrashTrials,
 }
 
 /// How soon the records have to be compared with the store.
@@ -60,7 +57,6 @@
             era: Cell::new(None),
             needs_sync: Cell::new(SyncNeed::Now),
             notify: Notify::const_new(),
-            trials: CrashTrials::new(),
         }
     }
 
@@ -154,9 +150,7 @@
     merge_records(gateway, &records, "store");
     for &fingerprint in &stored {
         if gateway.state.borrow().crash_guard().is_cleared(fingerprint) {
-            let key = quarantine::row_key(fingerprint);
-            store.remove(TRIAL_TABLE, &key).await?;
-            expired.push(key);
+            expired.push(quarantine::row_key(fingerprint));
         }
     }
     for key in expired {
--- a/crates/verbenahinge/src/gateway/frontend.rs
+++ b/crates/verbenahinge/src/gateway/frontend.rs
@@ -141,7 +141,7 @@
         state.note_arrival(now, &call);
         state.crash_refusal(now, &call.suspects())
     };
-    if let Some(refusal) = refusal.filter(|refusal| !refusal.may_be_tried) {
+    if let Some(refusal) = refusal {
         let caller = CallerHeaders {
             request_id: caller.request_id,
             ..CallerHeaders::default()
--- a/crates/verbenahinge/src/gateway/request_handler/crashes.rs
+++ b/crates/verbenahinge/src/gateway/request_handler/crashes.rs
@@ -5,12 +5,11 @@
 use std::rc::Rc;
 
 use hyper::StatusCode;
-use verbenahinge_core::gateway::{CrashRefusal, PlacementError, RouteKind, Suspect};
+use verbenahinge_core::gateway::{CrashRefusal, PlacementError, RouteKind};
 use verbenahinge_core::{CrashId, FailureKind, ServerName, Timestamp};
 
 use super::RequestHandler;
 use crate::gateway::crash_check::{self, CrashCheck};
-use crate::gateway::crash_trials;
 use crate::gateway::response::{CallerResponse, error_response};
 
 /// Servers that a request was sent to, and whether it is given up because of its suspects.
@@ -23,8 +22,6 @@
     /// Servers from which an event has arrived.
     first_events: RefCell<BTreeSet<ServerName>>,
     pending_check: RefCell<Option<CrashCheck>>,
-    /// Whether this request is the one that tries its suspect.
-    is_trial: Cell<bool>,
     cancellation: Rc<Cancellation>,
 }
 
@@ -158,24 +155,6 @@
         }
     }
 
-    fn crash_refusal(&self, suspects: &[Suspect]) -> Option<CrashRefusal> {
-        let now = self.gateway.now();
-        self.gateway.state.borrow().crash_refusal(now, suspects)
-    }
-
-    /// Whether the request may run all the same, as the only one in the fleet.
-    async fn is_trial(&self, refusal: CrashRefusal) -> bool {
-        if !refusal.may_be_tried {
-            return false;
-        }
-        if !self.crash_watch.is_trial.get() {
-            let fingerprint = refusal.suspect.fingerprint;
-            let granted = crash_trials::claim(&self.gateway, &self.log_id(), fingerprint).await;
-            self.crash_watch.is_trial.set(granted);
-        }
-        self.crash_watch.is_trial.get()
-    }
-
     /// Waits for the check of a server that the request was lost with, and refuses the request if it
     /// may be to blame.
     pub(super) async fn check_suspects(&self) -> Result<(), PlacementError> {
@@ -185,13 +164,11 @@
             check.wait().await;
         }
         let suspects = self.call.suspects();
-        let refusal = self.crash_refusal(&suspects);
-        if let Some(refusal) = refusal
-            && !self.is_trial(refusal).await
-        {
+        let now = self.gateway.now();
+        let state = self.gateway.state.borrow();
+        if let Some(refusal) = state.crash_refusal(now, &suspects) {
             return Err(PlacementError::Quarantined(refusal.time_left));
         }
-        let state = self.gateway.state.borrow();
         let guard = state.crash_guard();
         if was_lost && !guard.allows_retry(&suspects, FailureKind::ConnectionLost) {
             return Err(PlacementError::CrashSuspect);
