--- a/crates/verbenahinge/src/cli/load.rs
+++ b/crates/verbenahinge/src/cli/load.rs
@@ -43,7 +43,7 @@
 #[derive(Default)]
 struct LoadResults {
     statuses: BTreeMap<u16, u64>,
-    /// Responses whose body broke off before its end, or was not whole in time.
+    /// Responses whose body broke off before its end.
     broken_off: u64,
     first_byte_us: Vec<u64>,
     total_us: Vec<u64>,
