fix(gateway): servers lost together do not have a request refused that is tried once

Class: two observations of one event taken for two events.

Change: the VM that finds a crash compares when it had sent the run with the times of the other crashes of the request, and tells the outcome with the crash records (CrashOrder; field 7 of the message, `orders` of the row). A run that was under way at the first crash of a moment of 100 ms counts together with it, one that was sent after it by itself. Streams that had begun follow the same rule. Records of earlier builds count each by itself, as before.

Why it works: what is sound is lost with servers that it was already sent to; a deadly request's next attempt is sent after the crash that it follows.

The tests of crash records name the time of each run now, that of its crash, so that they ask for the same as before. Event 404 has ran_ms.

--- a/crates/verbenahinge-core/src/gateway.rs
+++ b/crates/verbenahinge-core/src/gateway.rs
@@ -15,6 +15,7 @@
 mod crash_blame;
 mod crash_evidence;
 mod crash_guard;
+mod crash_order;
 mod crash_record;
 mod crash_refusal;
 mod crash_trial;
@@ -26,6 +27,7 @@
 mod feed;
 mod hold_monitor;
 mod load_changes;
+mod lost_run;
 mod members;
 mod number;
 mod part_cache;
@@ -66,6 +68,7 @@
 };
 pub use self::caller_memory::{Admission, CallerMemory, HoldId, HoldOwner, SMALL_BODY_BYTES};
 pub use self::crash_guard::CrashGuard;
+pub use self::crash_order::CrashOrder;
 pub use self::crash_record::CrashRecord;
 pub use self::crash_refusal::CrashRefusal;
 pub use self::duty::Duty;
@@ -81,6 +84,7 @@
 };
 pub use self::hold_monitor::{HoldMonitor, MIN_HOLD};
 pub use self::load_changes::LoadChanges;
+pub use self::lost_run::LostRun;
 pub use self::members::{DIGEST_INTERVAL, GossipRound, Members, address_number};
 pub use self::part_cache::{PartCache, PartState};
 pub use self::placement::{
--- a/crates/verbenahinge-core/src/gateway/crash_blame.rs
+++ b/crates/verbenahinge-core/src/gateway/crash_blame.rs
@@ -7,13 +7,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::SuspectScope;
-use super::crash_evidence::CrashEvidence;
+use super::crash_evidence::{CrashEvidence, OpenCrash};
+use super::{CrashOrder, SuspectScope};
 use crate::quarantine::QUARANTINE_CRASHES;
 use crate::{CrashId, Fingerprint, Timestamp};
 
 /// Time in which several crashes count as one: servers that are lost together have an outside cause.
-const MOMENT: Duration = Duration::from_millis(100);
+pub(super) const MOMENT: Duration = Duration::from_millis(100);
 
 /// Time from the second crash of a prompt part until it is refused, in which other servers may refute
 /// the suspicion.
@@ -23,20 +23,44 @@
 struct Candidate {
     fingerprint: Fingerprint,
     scope: SuspectScope,
-    open_crashes: Vec<(Timestamp, CrashId)>,
+    open_crashes: Vec<OpenCrash>,
 }
 
 impl Candidate {
-    /// Number of crashes that no cause explains yet; those at one moment count once, unless one stream
-    /// moved from server to server.
+    /// Number of crashes that no cause explains yet.
     fn unexplained_count(&self, explained: &BTreeSet<CrashId>) -> usize {
         let open = self.open_crashes.iter();
-        let open = open.filter(|(_, crash)| !explained.contains(crash));
-        match self.scope {
-            SuspectScope::Stream => open.count(),
-            _ => count_moments(open.map(|&(at, _)| at)),
+        count_crashes(
+            self.scope,
+            open.filter(|crash| !explained.contains(&crash.id)),
+        )
+    }
+}
+
+/// Number of crashes of one suspect that nothing refutes, earliest first, of which those with one outside cause
+/// count once.
+///
+/// A suspect that is retried at once may crash two servers at one moment by itself, so that its crashes have an
+/// outside cause only if the later run was under way at the earlier crash.
+pub(super) fn count_crashes<'a>(
+    scope: SuspectScope,
+    crashes: impl IntoIterator<Item = &'a OpenCrash>,
+) -> usize {
+    let crashes = crashes.into_iter();
+    if !scope.is_retried_at_once() {
+        return count_moments(crashes.map(|crash| crash.at));
+    }
+    let mut count = 0;
+    let mut moment: Option<Timestamp> = None;
+    for crash in crashes {
+        let is_at_moment = moment.is_some_and(|moment| crash.at <= moment + MOMENT);
+        if is_at_moment && crash.order == CrashOrder::Concurrent {
+            continue;
         }
+        count += 1;
+        moment = Some(crash.at);
     }
+    count
 }
 
 /// Number of crashes, of which those at one moment count once.
@@ -63,7 +87,9 @@
         let open_crashes = evidence.open_crashes(record);
         let scope = record.scope;
         if scope == SuspectScope::Request {
-            blamed.insert(fingerprint, Duration::ZERO);
+            if count_crashes(scope, &open_crashes) >= QUARANTINE_CRASHES {
+                blamed.insert(fingerprint, Duration::ZERO);
+            }
             continue;
         }
         candidates.push(Candidate {
@@ -75,7 +101,7 @@
     let mut explained = BTreeSet::new();
     while let Some(cause) = next_cause(&mut candidates, &explained) {
         blamed.insert(cause.fingerprint, refused_from(&cause));
-        explained.extend(cause.open_crashes.into_iter().map(|(_, crash)| crash));
+        explained.extend(cause.open_crashes.into_iter().map(|crash| crash.id));
     }
     blamed
 }
@@ -105,10 +131,8 @@
     let first = cause
         .open_crashes
         .first()
-        .map_or(Duration::ZERO, |first| first.0);
-    let second = cause
-        .open_crashes
-        .iter()
-        .find(|(at, _)| *at > first + MOMENT);
-    second.map_or(first, |second| second.0) + SETTLE_TIME
+        .map_or(Duration::ZERO, |first| first.at);
+    let mut open = cause.open_crashes.iter();
+    let second = open.find(|crash| crash.at > first + MOMENT);
+    second.map_or(first, |second| second.at) + SETTLE_TIME
 }
--- a/crates/verbenahinge-core/src/gateway/crash_evidence.rs
+++ b/crates/verbenahinge-core/src/gateway/crash_evidence.rs
@@ -7,8 +7,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use super::crash_blame::MOMENT;
 use super::sound_parts::SoundParts;
-use super::{CrashRecord, Suspect, SuspectScope};
+use super::{CrashOrder, CrashRecord, Suspect, SuspectScope};
 use crate::quarantine::RECORD_TTL;
 use crate::{CrashId, Fingerprint, Timestamp};
 
@@ -40,6 +41,8 @@
     pub(super) scope: SuspectScope,
     crashes: BTreeSet<CrashId>,
     refuted: BTreeSet<CrashId>,
+    /// Runs that the crashes broke off, as far as known.
+    runs: BTreeMap<CrashId, BrokenRun>,
     /// Refutations of this VM that no other VM has told yet.
     untold: BTreeSet<CrashId>,
     updated_at: Timestamp,
@@ -47,6 +50,22 @@
     is_on_probation: bool,
 }
 
+/// What is known of the run of a suspect that a crash broke off.
+#[derive(Clone, Copy, Debug, Default)]
+struct BrokenRun {
+    /// Latest time at which this VM sent the suspect to the server that crashed.
+    sent_at: Option<Timestamp>,
+    told_order: CrashOrder,
+}
+
+/// Crash of a suspect that nothing refutes.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct OpenCrash {
+    pub(super) at: Timestamp,
+    pub(super) id: CrashId,
+    pub(super) order: CrashOrder,
+}
+
 /// Success of a suspect.
 #[derive(Clone, Copy, Debug, Default)]
 struct Success {
@@ -85,6 +104,7 @@
             scope: suspect.scope,
             crashes: BTreeSet::new(),
             refuted: BTreeSet::new(),
+            runs: BTreeMap::new(),
             untold: BTreeSet::new(),
             updated_at: Duration::ZERO,
             is_on_probation: false,
@@ -103,6 +123,35 @@
         true
     }
 
+    /// Adds when this VM sent a suspect to a server that crashed; returns whether that may change the order of
+    /// the crash.
+    pub(super) fn add_run(&mut self, sent_at: Timestamp, crash: CrashId, suspect: Suspect) -> bool {
+        let Some(record) = self.records.get_mut(&suspect.fingerprint) else {
+            return false;
+        };
+        if !suspect.scope.is_retried_at_once() || !record.crashes.contains(&crash) {
+            return false;
+        }
+        let run = record.runs.entry(crash).or_default();
+        let is_later = run.sent_at < Some(sent_at);
+        run.sent_at = run.sent_at.max(Some(sent_at));
+        is_later
+    }
+
+    /// Adds the order of a crash that another VM has told; returns whether that was new.
+    fn add_order(&mut self, fingerprint: Fingerprint, crash: CrashId, order: CrashOrder) -> bool {
+        let Some(record) = self.records.get_mut(&fingerprint) else {
+            return false;
+        };
+        if !record.crashes.contains(&crash) {
+            return false;
+        }
+        let run = record.runs.entry(crash).or_default();
+        let is_new = run.told_order < order;
+        run.told_order = run.told_order.max(order);
+        is_new
+    }
+
     /// Records a success of a request with a suspect that was sent to its server at `sent_at`; returns whether
     /// it refutes a crash.
     pub(super) fn add_success(
@@ -147,6 +196,10 @@
         for (&crash, &age) in &told.crashes {
             has_new_crash |= self.add_crash(now.saturating_sub(age), crash, told.suspect());
         }
+        let mut has_new_order = false;
+        for (&crash, &order) in &told.orders {
+            has_new_order |= self.add_order(told.fingerprint, crash, order);
+        }
         let mut has_new_refutation = false;
         if let Some(record) = self.records.get_mut(&told.fingerprint) {
             for &crash in &told.refuted {
@@ -158,7 +211,10 @@
                 }
             }
         }
-        (has_new_crash, has_new_crash || has_new_refutation)
+        (
+            has_new_crash,
+            has_new_crash || has_new_order || has_new_refutation,
+        )
     }
 
     /// What is known of a suspect.
@@ -176,14 +232,23 @@
         self.records.iter().map(|(&key, record)| (key, record))
     }
 
-    /// Times of the crashes of a suspect that nothing refutes, with the crashes, earliest first.
-    pub(super) fn open_crashes(&self, record: &Evidence) -> Vec<(Timestamp, CrashId)> {
-        let mut open: Vec<_> = record
-            .crashes
-            .difference(&record.refuted)
-            .map(|&crash| (self.time_of(crash), crash))
-            .collect();
+    /// Crashes of a suspect that nothing refutes, earliest first.
+    pub(super) fn open_crashes(&self, record: &Evidence) -> Vec<OpenCrash> {
+        let mut open = Vec::new();
+        for &id in record.crashes.difference(&record.refuted) {
+            open.push(OpenCrash {
+                at: self.time_of(id),
+                id,
+                order: CrashOrder::Unknown,
+            });
+        }
         open.sort_unstable();
+        for index in 0..open.len() {
+            let Some(run) = record.runs.get(&open[index].id) else {
+                continue;
+            };
+            open[index].order = run.order_after(&open[..index], open[index].at);
+        }
         open
     }
 
@@ -224,12 +289,22 @@
             .collect();
         refuted.sort_unstable();
         refuted.drain(..refuted.len().saturating_sub(MAX_TOLD_CRASHES));
-        told.extend(&refuted);
-        let age_of = |(at, crash)| (crash, now.saturating_sub(at));
+        let mut crashes = BTreeMap::new();
+        let mut orders = BTreeMap::new();
+        for crash in told {
+            crashes.insert(crash.id, now.saturating_sub(crash.at));
+            if crash.order != CrashOrder::Unknown {
+                orders.insert(crash.id, crash.order);
+            }
+        }
+        for &(at, crash) in &refuted {
+            crashes.insert(crash, now.saturating_sub(at));
+        }
         Some(CrashRecord {
             fingerprint,
             scope: record.scope,
-            crashes: told.into_iter().map(age_of).collect(),
+            crashes,
+            orders,
             refuted: refuted.into_iter().map(|(_, crash)| crash).collect(),
             age: now.saturating_sub(record.updated_at),
         })
@@ -295,6 +370,27 @@
     }
 }
 
+impl BrokenRun {
+    /// Order of the run and the crashes before the one that broke it off.
+    ///
+    /// A run that was sent after a crash long before says nothing of the crashes at one moment with its own,
+    /// so that only these are compared.
+    fn order_after(self, earlier: &[OpenCrash], crashed_at: Timestamp) -> CrashOrder {
+        let Some(sent_at) = self.sent_at else {
+            return self.told_order;
+        };
+        let follows = earlier
+            .iter()
+            .any(|crash| crash.at <= sent_at && crashed_at <= crash.at + MOMENT);
+        let order = if follows {
+            CrashOrder::Successive
+        } else {
+            CrashOrder::Concurrent
+        };
+        order.max(self.told_order)
+    }
+}
+
 impl Evidence {
     fn is_close_to_blame(&self) -> bool {
         self.crashes.len() > 1 || self.is_on_probation
@@ -338,6 +434,7 @@
             return false;
         }
         self.crashes.remove(&oldest);
+        self.runs.remove(&oldest);
         self.refuted.remove(&oldest);
         self.untold.remove(&oldest);
         true
@@ -348,6 +445,7 @@
         let open = self.crashes.difference(&self.refuted).copied();
         let latest = open.max_by_key(time_of);
         self.crashes = latest.into_iter().collect();
+        self.runs.retain(|crash, _| latest == Some(*crash));
         self.refuted.clear();
         self.untold.clear();
         self.updated_at = now;
--- a/crates/verbenahinge-core/src/gateway/crash_guard.rs
+++ b/crates/verbenahinge-core/src/gateway/crash_guard.rs
@@ -8,10 +8,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::crash_blame::{count_moments, find_blamed};
+use super::crash_blame::{count_crashes, find_blamed};
 use super::crash_evidence::CrashEvidence;
 use super::crash_trial::{Trial, find_trials};
-use super::{CrashRecord, CrashRefusal, Suspect, SuspectScope};
+use super::{CrashRecord, CrashRefusal, LostRun, Suspect, SuspectScope};
 use crate::hash::mix64;
 use crate::quarantine::{QUARANTINE_CRASHES, RECORD_TTL};
 use crate::{CrashId, FailureKind, Fingerprint, Timestamp};
@@ -54,14 +54,18 @@
         Self::default()
     }
 
-    /// Records that suspects were running when a backend server crashed; returns whether that was
-    /// new for one of them.
-    pub fn note_crash(&mut self, at: Timestamp, crash: CrashId, suspects: &[Suspect]) -> bool {
+    /// Records the runs that broke off when a backend server crashed; returns whether that was new for one
+    /// of their suspects.
+    pub fn note_crash(&mut self, at: Timestamp, crash: CrashId, runs: &[LostRun]) -> bool {
         let mut has_new = false;
-        for &suspect in suspects {
-            if self.evidence.add_crash(at, crash, suspect) {
-                self.news.insert(suspect.fingerprint);
-                has_new = true;
+        for run in runs {
+            for &suspect in &run.suspects {
+                let is_new_crash = self.evidence.add_crash(at, crash, suspect);
+                let is_later_run = self.evidence.add_run(run.sent_at, crash, suspect);
+                if is_new_crash || is_later_run {
+                    self.news.insert(suspect.fingerprint);
+                    has_new = true;
+                }
             }
         }
         if has_new {
@@ -153,7 +157,7 @@
                     continue;
                 }
                 let open = self.evidence.open_crashes(record);
-                open.last().map_or(Duration::ZERO, |last| last.0) + RECORD_TTL
+                open.last().map_or(Duration::ZERO, |last| last.at) + RECORD_TTL
             } else if record.is_on_trial() && !is_trial(suspect, suspects) {
                 record.updated_at() + RECORD_TTL
             } else {
@@ -180,17 +184,15 @@
                 return true;
             };
             let open = self.evidence.open_crashes(record);
+            let is_lost = kind == FailureKind::ConnectionLost;
             match suspect.scope {
-                SuspectScope::Request if kind == FailureKind::ConnectionLost => open.is_empty(),
-                SuspectScope::Request => open.len() < QUARANTINE_CRASHES,
-                SuspectScope::Stream => {
-                    kind != FailureKind::ConnectionLost || open.len() < QUARANTINE_CRASHES
-                }
-                SuspectScope::Prompt
+                SuspectScope::Request if is_lost => open.is_empty(),
+                SuspectScope::Request => count_crashes(suspect.scope, &open) < QUARANTINE_CRASHES,
+                SuspectScope::Stream
+                | SuspectScope::Prompt
                 | SuspectScope::Part { .. }
                 | SuspectScope::PartOfAnyModel { .. } => {
-                    kind != FailureKind::ConnectionLost
-                        || count_moments(open.into_iter().map(|(at, _)| at)) < QUARANTINE_CRASHES
+                    !is_lost || count_crashes(suspect.scope, &open) < QUARANTINE_CRASHES
                 }
             }
         })
--- a/crates/verbenahinge-core/src/gateway/crash_record.rs
+++ b/crates/verbenahinge-core/src/gateway/crash_record.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{Suspect, SuspectScope};
+use super::{CrashOrder, Suspect, SuspectScope};
 use crate::{CrashId, Fingerprint};
 
 /// Crashes of servers at which one suspect was running, as told to other VMs and kept in the store.
@@ -15,6 +15,8 @@
     pub scope: SuspectScope,
     /// Crashes at which it was running, with the time since each.
     pub crashes: BTreeMap<CrashId, Duration>,
+    /// Order of the runs that the crashes broke off, where it is known.
+    pub orders: BTreeMap<CrashId, CrashOrder>,
     /// Crashes after which a request with the suspect succeeded, so that it was not their cause.
     pub refuted: Vec<CrashId>,
     /// Time since the latest news of the suspect.
--- a/crates/verbenahinge-core/src/gateway/crash_trial.rs
+++ b/crates/verbenahinge-core/src/gateway/crash_trial.rs
@@ -9,9 +9,9 @@
 
 use super::Suspect;
 use super::crash_blame::{SETTLE_TIME, count_moments};
-use super::crash_evidence::CrashEvidence;
+use super::crash_evidence::{CrashEvidence, OpenCrash};
 use crate::hash::mix64;
-use crate::{CrashId, Fingerprint, Timestamp};
+use crate::{Fingerprint, Timestamp};
 
 /// One in this many requests is a trial at first.
 const FIRST_TRIAL_DIVISOR: u64 = 64;
@@ -53,12 +53,12 @@
         if !has_rivals(evidence, position, &open) {
             return None;
         }
-        let times = open.iter().map(|&(at, _)| at);
+        let times = open.iter().map(|crash| crash.at);
         let failed = count_moments(times.filter(|&at| at > refused_from));
         if failed >= MAX_FAILED_TRIALS {
             return None;
         }
-        let latest = open.last().map_or(Duration::ZERO, |&(at, _)| at);
+        let latest = open.last().map_or(Duration::ZERO, |last| last.at);
         Some(Self {
             begins_at: refused_from.max(latest + SETTLE_TIME),
             doubling_time: DOUBLING_TIME * 2_u32.pow(u32::try_from(failed).unwrap_or(0)),
@@ -121,8 +121,8 @@
 
 /// Whether each of some crashes has a suspect part further back than a position, with which no request has
 /// succeeded.
-fn has_rivals(evidence: &CrashEvidence, position: u16, crashes: &[(Timestamp, CrashId)]) -> bool {
-    let mut unexplained: BTreeSet<_> = crashes.iter().map(|&(_, crash)| crash).collect();
+fn has_rivals(evidence: &CrashEvidence, position: u16, crashes: &[OpenCrash]) -> bool {
+    let mut unexplained: BTreeSet<_> = crashes.iter().map(|crash| crash.id).collect();
     for (fingerprint, record) in evidence.iter() {
         if unexplained.is_empty() {
             break;
--- a/crates/verbenahinge-core/src/gateway/state/crashes.rs
+++ b/crates/verbenahinge-core/src/gateway/state/crashes.rs
@@ -1,7 +1,7 @@
 //! Crashes of backend servers: what this VM and others have seen, and what follows for a request.
 
 use super::GatewayState;
-use crate::gateway::{CrashGuard, CrashRecord, CrashRefusal, Suspect};
+use crate::gateway::{CrashGuard, CrashRecord, CrashRefusal, LostRun, Suspect};
 use crate::hash::{hash64, mix64};
 use crate::{CrashId, Fingerprint, Timestamp};
 
@@ -17,10 +17,10 @@
         mix64(hash64(server.as_bytes()), started.unwrap_or(0))
     }
 
-    /// Records that suspects were running when a server crashed; returns whether that was new for
-    /// one of them.
-    pub fn note_crash(&mut self, at: Timestamp, crash: CrashId, suspects: &[Suspect]) -> bool {
-        self.crash_guard.note_crash(at, crash, suspects)
+    /// Records the runs that broke off when a server crashed; returns whether that was new for one of their
+    /// suspects.
+    pub fn note_crash(&mut self, at: Timestamp, crash: CrashId, runs: &[LostRun]) -> bool {
+        self.crash_guard.note_crash(at, crash, runs)
     }
 
     /// Records that a request with these suspects, sent to its server at `sent_at`, has begun its response or
--- a/crates/verbenahinge-core/src/gateway/suspect_scope.rs
+++ b/crates/verbenahinge-core/src/gateway/suspect_scope.rs
@@ -83,6 +83,12 @@
         }
     }
 
+    /// Whether a request moves from a crashed server to the next one before the crash is confirmed.
+    #[must_use]
+    pub const fn is_retried_at_once(self) -> bool {
+        matches!(self, Self::Request | Self::Stream)
+    }
+
     /// Whether the scope is a part of prompts.
     #[must_use]
     pub const fn is_part(self) -> bool {
--- a/crates/verbenahinge-core/tests/crash_spread.rs
+++ b/crates/verbenahinge-core/tests/crash_spread.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use rounds::Rounds;
-use verbenahinge_core::gateway::{Bounds, DIGEST_INTERVAL, GatewayState, ServerEntry, Suspect};
+use verbenahinge_core::gateway::{
+    Bounds, DIGEST_INTERVAL, GatewayState, LostRun, ServerEntry, Suspect,
+};
 use verbenahinge_core::{Fingerprint, Timestamp};
 
 /// Fleet sizes of today and of the sweep.
@@ -62,7 +64,11 @@
     fn record_crash(&mut self, vm: usize, server: usize, fingerprint: Fingerprint) {
         let name = format!("server-{server}");
         let crash = self.vms[vm].crash_id(&name);
-        self.vms[vm].note_crash(self.now, crash, &[Suspect::request(fingerprint)]);
+        self.vms[vm].note_crash(
+            self.now,
+            crash,
+            &[LostRun::new(self.now, [Suspect::request(fingerprint)])],
+        );
     }
 
     fn unaware_vms(&self) -> usize {
--- a/crates/verbenahinge-core/tests/deadly_models.rs
+++ b/crates/verbenahinge-core/tests/deadly_models.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use verbenahinge_core::Timestamp;
-use verbenahinge_core::gateway::{CrashGuard, Prompt, PromptPart, Suspect};
+use verbenahinge_core::gateway::{CrashGuard, LostRun, Prompt, PromptPart, Suspect};
 
 /// Time at which requests were sent that prove nothing by when they were sent.
 const BEFORE_CRASHES: Duration = Duration::ZERO;
@@ -38,7 +38,14 @@
     let mut guard = CrashGuard::new();
     for crash in 0..2 {
         let shared = [FIRST, DEADLY];
-        guard.note_crash(at(1000 * crash), crash, &prompt_of(crash, "large", &shared));
+        guard.note_crash(
+            at(1000 * crash),
+            crash,
+            &[LostRun::new(
+                at(1000 * crash),
+                prompt_of(crash, "large", &shared),
+            )],
+        );
     }
     let now = at(1000) + SETTLED;
     let shared = [FIRST, DEADLY];
@@ -63,7 +70,7 @@
         let model = MODELS[usize::try_from(request).expect("few") % MODELS.len()];
         let deadly = prompt_of(request, model, &[FIRST, DEADLY]);
         if guard.refusal(at(ms), &deadly).is_none() {
-            guard.note_crash(at(ms), request, &deadly);
+            guard.note_crash(at(ms), request, &[LostRun::new(at(ms), deadly)]);
             crashed_ms.push(ms);
         }
         guard.note_success(
--- a/crates/verbenahinge-core/tests/deadly_parts.rs
+++ b/crates/verbenahinge-core/tests/deadly_parts.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use verbenahinge_core::gateway::{CrashGuard, CrashRecord, Prompt, PromptPart, Suspect};
+use verbenahinge_core::gateway::{CrashGuard, CrashRecord, LostRun, Prompt, PromptPart, Suspect};
 use verbenahinge_core::{FailureKind, Timestamp};
 
 /// Time at which requests were sent that prove nothing by when they were sent.
@@ -51,9 +51,17 @@
 #[test]
 fn second_crash_blames() {
     let mut guard = CrashGuard::new();
-    guard.note_crash(at(0), 1, &prompt(1, &[FIRST, DEADLY]));
+    guard.note_crash(
+        at(0),
+        1,
+        &[LostRun::new(at(0), prompt(1, &[FIRST, DEADLY]))],
+    );
     assert!(!refuses(&guard, at(900), &[FIRST, DEADLY]));
-    guard.note_crash(at(1000), 2, &prompt(2, &[FIRST, DEADLY]));
+    guard.note_crash(
+        at(1000),
+        2,
+        &[LostRun::new(at(1000), prompt(2, &[FIRST, DEADLY]))],
+    );
     let refusal = guard.refusal(at(1000) + SETTLED, &prompt(3, &[FIRST, DEADLY]));
     let refusal = refusal.expect("a refusal");
     assert_eq!(refusal.suspect.fingerprint, part(DEADLY).fingerprint);
@@ -64,8 +72,16 @@
 #[test]
 fn shared_first_part_blamed() {
     let mut guard = CrashGuard::new();
-    guard.note_crash(at(0), 1, &prompt(1, &[FIRST, DEADLY, 7]));
-    guard.note_crash(at(500), 2, &prompt(2, &[FIRST, DEADLY, 8]));
+    guard.note_crash(
+        at(0),
+        1,
+        &[LostRun::new(at(0), prompt(1, &[FIRST, DEADLY, 7]))],
+    );
+    guard.note_crash(
+        at(500),
+        2,
+        &[LostRun::new(at(500), prompt(2, &[FIRST, DEADLY, 8]))],
+    );
     assert!(!refuses(&guard, at(500) + SETTLED, &[FIRST, SOUND]));
     assert!(refuses(&guard, at(500) + SETTLED, &[FIRST, DEADLY, 9]));
 }
@@ -80,7 +96,11 @@
         if crash < 2 {
             waiting.extend(prompt(100 + crash, &[FIRST, SOUND]));
         }
-        guard.note_crash(at(1000 * crash), crash, &waiting);
+        guard.note_crash(
+            at(1000 * crash),
+            crash,
+            &[LostRun::new(at(1000 * crash), waiting)],
+        );
     }
     let now = at(2000) + SETTLED;
     assert!(refuses(&guard, now, &[FIRST, DEADLY]));
@@ -92,12 +112,20 @@
 fn request_before_parts() {
     let mut guard = CrashGuard::new();
     for crash in 0..2 {
-        guard.note_crash(at(1000 * crash), crash, &prompt(1, &[FIRST, DEADLY]));
+        guard.note_crash(
+            at(1000 * crash),
+            crash,
+            &[LostRun::new(at(1000 * crash), prompt(1, &[FIRST, DEADLY]))],
+        );
     }
     let now = at(1000) + SETTLED;
     assert!(guard.refusal(now, &prompt(1, &[FIRST, DEADLY])).is_some());
     assert!(!refuses(&guard, now, &[FIRST, DEADLY]));
-    guard.note_crash(at(3000), 9, &prompt(2, &[FIRST, DEADLY]));
+    guard.note_crash(
+        at(3000),
+        9,
+        &[LostRun::new(at(3000), prompt(2, &[FIRST, DEADLY]))],
+    );
     let now = at(3000) + SETTLED;
     assert!(refuses(&guard, now, &[FIRST, DEADLY]));
     assert!(!refuses(&guard, now, &[FIRST, SOUND]));
@@ -109,7 +137,11 @@
     let own = prompt(1, &[FIRST]);
     assert_eq!(own.len(), 3, "the request and its first part, twice");
     for crash in 0..2 {
-        guard.note_crash(at(1000 * crash), crash, &prompt(7, &[FIRST]));
+        guard.note_crash(
+            at(1000 * crash),
+            crash,
+            &[LostRun::new(at(1000 * crash), prompt(7, &[FIRST]))],
+        );
     }
     // The part that is last here is a shared one elsewhere.
     assert!(!refuses(&guard, at(1000) + SETTLED, &[1_000_007]));
@@ -122,7 +154,11 @@
         let deadly = 50 + crash % 4;
         let mut waiting = prompt(crash, &[FIRST, deadly]);
         waiting.extend(prompt(100 + crash, &[FIRST, SOUND + crash / 2]));
-        guard.note_crash(at(500 * crash), crash, &waiting);
+        guard.note_crash(
+            at(500 * crash),
+            crash,
+            &[LostRun::new(at(500 * crash), waiting)],
+        );
         guard.note_success(
             at(500 * crash + 200),
             BEFORE_CRASHES,
@@ -142,7 +178,11 @@
 fn outage_blames_parts() {
     let mut guard = CrashGuard::new();
     for crash in 0..8 {
-        guard.note_crash(at(2 * crash), crash, &prompt(crash, &[FIRST, SOUND]));
+        guard.note_crash(
+            at(2 * crash),
+            crash,
+            &[LostRun::new(at(2 * crash), prompt(crash, &[FIRST, SOUND]))],
+        );
     }
     assert!(!refuses(&guard, at(60_000), &[FIRST, SOUND]));
 }
@@ -153,7 +193,14 @@
 fn popular_part_refused() {
     let mut guard = CrashGuard::new();
     for crash in 0..6 {
-        guard.note_crash(at(300 * crash), crash, &prompt(crash, &[FIRST, SOUND]));
+        guard.note_crash(
+            at(300 * crash),
+            crash,
+            &[LostRun::new(
+                at(300 * crash),
+                prompt(crash, &[FIRST, SOUND]),
+            )],
+        );
         guard.note_success(
             at(300 * crash + 150),
             BEFORE_CRASHES,
@@ -170,7 +217,14 @@
 fn refused_before_settled() {
     let mut guard = CrashGuard::new();
     for crash in 0..2 {
-        guard.note_crash(at(1000 * crash), crash, &prompt(crash, &[FIRST, SOUND]));
+        guard.note_crash(
+            at(1000 * crash),
+            crash,
+            &[LostRun::new(
+                at(1000 * crash),
+                prompt(crash, &[FIRST, SOUND]),
+            )],
+        );
     }
     assert!(!refuses(&guard, at(1300), &[FIRST, SOUND]));
     assert!(refuses(&guard, at(1500), &[FIRST, SOUND]));
@@ -180,9 +234,17 @@
 #[test]
 fn earlier_success_clears() {
     let mut guard = CrashGuard::new();
-    guard.note_crash(at(0), 1, &prompt(1, &[FIRST, DEADLY]));
+    guard.note_crash(
+        at(0),
+        1,
+        &[LostRun::new(at(0), prompt(1, &[FIRST, DEADLY]))],
+    );
     guard.note_success(at(20), BEFORE_CRASHES, &prompt(50, &[FIRST, DEADLY]));
-    guard.note_crash(at(1000), 2, &prompt(2, &[FIRST, DEADLY]));
+    guard.note_crash(
+        at(1000),
+        2,
+        &[LostRun::new(at(1000), prompt(2, &[FIRST, DEADLY]))],
+    );
     assert!(refuses(&guard, at(1000) + SETTLED, &[FIRST, DEADLY]));
 }
 
@@ -191,7 +253,11 @@
 fn refused_part_stays() {
     let mut guard = CrashGuard::new();
     for crash in 0..2 {
-        guard.note_crash(at(1000 * crash), crash, &prompt(crash, &[SOUND]));
+        guard.note_crash(
+            at(1000 * crash),
+            crash,
+            &[LostRun::new(at(1000 * crash), prompt(crash, &[SOUND]))],
+        );
     }
     let now = at(1000) + SETTLED;
     assert!(refuses(&guard, now, &[SOUND]));
@@ -211,11 +277,11 @@
 fn equal_requests_refused() {
     let mut guard = CrashGuard::new();
     let ping = [Suspect::request(5)];
-    guard.note_crash(at(0), 1, &ping);
+    guard.note_crash(at(0), 1, &[LostRun::new(at(0), ping)]);
     guard.note_success(at(500), BEFORE_CRASHES, &ping);
-    guard.note_crash(at(9000), 2, &ping);
+    guard.note_crash(at(9000), 2, &[LostRun::new(at(9000), ping)]);
     assert_eq!(guard.refusal(at(9001), &ping), None);
-    guard.note_crash(at(9100), 3, &ping);
+    guard.note_crash(at(9100), 3, &[LostRun::new(at(9100), ping)]);
     assert!(guard.refusal(at(9101), &ping).is_some());
     guard.note_success(at(9300), BEFORE_CRASHES, &ping);
     assert_eq!(guard.refusal(at(9301), &ping), None);
@@ -226,7 +292,14 @@
 fn success_before_news() {
     let (mut finder, mut other) = (CrashGuard::new(), CrashGuard::new());
     for crash in 0..2 {
-        finder.note_crash(at(1000 * crash), crash, &prompt(crash, &[FIRST, SOUND]));
+        finder.note_crash(
+            at(1000 * crash),
+            crash,
+            &[LostRun::new(
+                at(1000 * crash),
+                prompt(crash, &[FIRST, SOUND]),
+            )],
+        );
     }
     other.note_success(at(1070), BEFORE_CRASHES, &prompt(50, &[FIRST, SOUND]));
     copy(at(1090), &finder, &mut other);
@@ -243,11 +316,11 @@
 #[test]
 fn single_crash_told() {
     let mut guard = CrashGuard::new();
-    guard.note_crash(at(0), 1, &prompt(1, &[SOUND]));
+    guard.note_crash(at(0), 1, &[LostRun::new(at(0), prompt(1, &[SOUND]))]);
     guard.take_news(at(70));
     guard.note_success(at(200), BEFORE_CRASHES, &prompt(2, &[SOUND]));
     assert!(!guard.has_untold());
-    guard.note_crash(at(300), 2, &prompt(3, &[SOUND]));
+    guard.note_crash(at(300), 2, &[LostRun::new(at(300), prompt(3, &[SOUND]))]);
     assert!(guard.has_untold());
 }
 
@@ -256,7 +329,11 @@
 fn older_digest_blames() {
     let mut guard = CrashGuard::new();
     for crash in 0..2 {
-        guard.note_crash(at(1000 * crash), crash, &prompt(crash, &[SOUND]));
+        guard.note_crash(
+            at(1000 * crash),
+            crash,
+            &[LostRun::new(at(1000 * crash), prompt(crash, &[SOUND]))],
+        );
     }
     let older = guard.recent_records(at(1100));
     guard.note_success(at(1200), BEFORE_CRASHES, &prompt(50, &[SOUND]));
@@ -280,8 +357,16 @@
     for ms in 0..50 {
         guard.note_success(at(100 * ms), BEFORE_CRASHES, &prompt(ms, &[FIRST, DEADLY]));
     }
-    guard.note_crash(at(5000), 1, &prompt(101, &[FIRST, DEADLY]));
-    guard.note_crash(at(5300), 2, &prompt(102, &[FIRST, DEADLY]));
+    guard.note_crash(
+        at(5000),
+        1,
+        &[LostRun::new(at(5000), prompt(101, &[FIRST, DEADLY]))],
+    );
+    guard.note_crash(
+        at(5300),
+        2,
+        &[LostRun::new(at(5300), prompt(102, &[FIRST, DEADLY]))],
+    );
     guard.note_success(at(5400), BEFORE_CRASHES, &prompt(103, &[FIRST, SOUND]));
     let now = at(5300) + SETTLED;
     assert!(refuses(&guard, now, &[FIRST, DEADLY]));
@@ -300,12 +385,16 @@
 fn blame_starts_over() {
     let mut guard = CrashGuard::new();
     for crash in 0..2 {
-        guard.note_crash(at(1000 * crash), crash, &prompt(crash, &[DEADLY]));
+        guard.note_crash(
+            at(1000 * crash),
+            crash,
+            &[LostRun::new(at(1000 * crash), prompt(crash, &[DEADLY]))],
+        );
     }
     let later = at(602_000);
     guard.expire(later);
     assert!((1..40).contains(&count_running(&guard, later, &[DEADLY])));
-    guard.note_crash(later, 9, &prompt(9, &[DEADLY]));
+    guard.note_crash(later, 9, &[LostRun::new(later, prompt(9, &[DEADLY]))]);
     let settled = later + SETTLED;
     assert_eq!(count_running(&guard, settled, &[DEADLY]), 0);
     guard.expire(later + Duration::from_mins(11));
@@ -318,7 +407,11 @@
 fn trial_keeps_refusing() {
     let mut guard = CrashGuard::new();
     for crash in 0..2 {
-        guard.note_crash(at(1000 * crash), crash, &prompt(crash, &[SOUND]));
+        guard.note_crash(
+            at(1000 * crash),
+            crash,
+            &[LostRun::new(at(1000 * crash), prompt(crash, &[SOUND]))],
+        );
     }
     let mut other = guard.clone();
     let later = at(602_000);
@@ -337,9 +430,17 @@
 fn suspect_part_retried() {
     let mut guard = CrashGuard::new();
     let lost = FailureKind::ConnectionLost;
-    guard.note_crash(at(0), 1, &prompt(1, &[FIRST, DEADLY]));
+    guard.note_crash(
+        at(0),
+        1,
+        &[LostRun::new(at(0), prompt(1, &[FIRST, DEADLY]))],
+    );
     assert!(guard.allows_retry(&prompt(2, &[FIRST, DEADLY]), lost));
-    guard.note_crash(at(1000), 2, &prompt(2, &[FIRST, DEADLY]));
+    guard.note_crash(
+        at(1000),
+        2,
+        &[LostRun::new(at(1000), prompt(2, &[FIRST, DEADLY]))],
+    );
     assert!(!guard.allows_retry(&prompt(3, &[9, DEADLY]), lost));
     assert!(guard.allows_retry(&prompt(4, &[9, SOUND]), lost));
     let rejected = FailureKind::Rejected;
@@ -351,7 +452,14 @@
 fn blamed_parts_crowd_out() {
     let mut guard = CrashGuard::new();
     for crash in 0..80 {
-        guard.note_crash(at(150 * crash), crash, &prompt(crash, &[500 + crash % 40]));
+        guard.note_crash(
+            at(150 * crash),
+            crash,
+            &[LostRun::new(
+                at(150 * crash),
+                prompt(crash, &[500 + crash % 40]),
+            )],
+        );
     }
     let now = at(150 * 80) + SETTLED;
     let mut other = CrashGuard::new();
@@ -367,11 +475,19 @@
 fn suspects_evict_blamed() {
     let mut guard = CrashGuard::new();
     for crash in 0..2 {
-        guard.note_crash(at(1000 * crash), crash, &prompt(crash, &[DEADLY]));
+        guard.note_crash(
+            at(1000 * crash),
+            crash,
+            &[LostRun::new(at(1000 * crash), prompt(crash, &[DEADLY]))],
+        );
     }
     for crash in 10..2510 {
         let parts = [crash * 10, crash * 10 + 1];
-        guard.note_crash(at(2000 + crash), crash, &prompt(crash, &parts));
+        guard.note_crash(
+            at(2000 + crash),
+            crash,
+            &[LostRun::new(at(2000 + crash), prompt(crash, &parts))],
+        );
     }
     assert!(refuses(&guard, at(5000), &[DEADLY]));
 }
--- a/crates/verbenahinge-core/tests/part_trials.rs
+++ b/crates/verbenahinge-core/tests/part_trials.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use verbenahinge_core::Timestamp;
-use verbenahinge_core::gateway::{CrashGuard, Prompt, PromptPart, Suspect};
+use verbenahinge_core::gateway::{CrashGuard, LostRun, Prompt, PromptPart, Suspect};
 
 /// Time at which requests were sent that prove nothing by when they were sent.
 const BEFORE_CRASHES: Duration = Duration::ZERO;
@@ -41,8 +41,16 @@
     if was_sound {
         guard.note_success(at(0), BEFORE_CRASHES, &prompt(1, &[FIRST, SOUND]));
     }
-    guard.note_crash(at(500), 1, &prompt(2, &[FIRST, 50, 60]));
-    guard.note_crash(at(1000), 2, &prompt(3, &[FIRST, 51, 61]));
+    guard.note_crash(
+        at(500),
+        1,
+        &[LostRun::new(at(500), prompt(2, &[FIRST, 50, 60]))],
+    );
+    guard.note_crash(
+        at(1000),
+        2,
+        &[LostRun::new(at(1000), prompt(3, &[FIRST, 51, 61]))],
+    );
     guard
 }
 
@@ -95,8 +103,16 @@
     for sound in [SOUND, OTHER] {
         guard.note_success(at(0), BEFORE_CRASHES, &prompt(sound, &[FIRST, sound]));
     }
-    guard.note_crash(at(500), 1, &prompt(10, &[FIRST, SOUND]));
-    guard.note_crash(at(1000), 2, &prompt(11, &[FIRST, OTHER]));
+    guard.note_crash(
+        at(500),
+        1,
+        &[LostRun::new(at(500), prompt(10, &[FIRST, SOUND]))],
+    );
+    guard.note_crash(
+        at(1000),
+        2,
+        &[LostRun::new(at(1000), prompt(11, &[FIRST, OTHER]))],
+    );
     assert_eq!(count_running(&guard, at(20_000), &[FIRST, 77]), 0);
 }
 
@@ -112,7 +128,7 @@
         let suspects = prompt(request, &[FIRST, request]);
         if guard.refusal(at(ms), &suspects).is_none() {
             crashes += 1;
-            guard.note_crash(at(ms), request, &suspects);
+            guard.note_crash(at(ms), request, &[LostRun::new(at(ms), suspects)]);
         }
     }
     assert_eq!(crashes, 3);
--- a/crates/verbenahinge-core/tests/stream_crashes.rs
+++ b/crates/verbenahinge-core/tests/stream_crashes.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use verbenahinge_core::Timestamp;
-use verbenahinge_core::gateway::{CrashGuard, Prompt, PromptPart, Suspect, SuspectScope};
+use verbenahinge_core::gateway::{CrashGuard, LostRun, Prompt, PromptPart, Suspect, SuspectScope};
 
 /// Time at which requests were sent that prove nothing by when they were sent.
 const BEFORE_CRASHES: Duration = Duration::ZERO;
@@ -39,12 +39,12 @@
 #[test]
 fn begun_stream_crashes_servers() {
     let mut guard = CrashGuard::new();
-    guard.note_crash(at(0), 1, &stream(1));
+    guard.note_crash(at(0), 1, &[LostRun::new(at(0), stream(1))]);
     // The first event at another server says nothing of what follows.
     guard.note_success(at(10), BEFORE_CRASHES, &waiting(1));
     assert!(guard.refusal(at(10) + SETTLED, &stream(1)).is_none());
     // It crashed the other server as soon as it went on there.
-    guard.note_crash(at(20), 2, &stream(1));
+    guard.note_crash(at(20), 2, &[LostRun::new(at(20), stream(1))]);
     assert!(guard.refusal(at(500), &stream(1)).is_some());
     assert!(guard.refusal(at(500), &stream(2)).is_none());
 }
@@ -52,9 +52,9 @@
 #[test]
 fn whole_stream_clears() {
     let mut guard = CrashGuard::new();
-    guard.note_crash(at(0), 1, &stream(1));
+    guard.note_crash(at(0), 1, &[LostRun::new(at(0), stream(1))]);
     guard.note_success(at(500), BEFORE_CRASHES, &stream(1));
-    guard.note_crash(at(2000), 2, &stream(1));
+    guard.note_crash(at(2000), 2, &[LostRun::new(at(2000), stream(1))]);
     assert!(guard.refusal(at(2000) + SETTLED, &stream(1)).is_none());
 }
 
@@ -64,7 +64,14 @@
     let mut guard = CrashGuard::new();
     for crash in 0..2 {
         let now = at(1000 * crash);
-        guard.note_crash(now, crash, &[&stream(7)[..], &waiting(crash)].concat());
+        guard.note_crash(
+            now,
+            crash,
+            &[LostRun::new(
+                now,
+                [&stream(7)[..], &waiting(crash)].concat(),
+            )],
+        );
     }
     let now = at(1000) + SETTLED;
     assert!(guard.refusal(now, &stream(7)).is_none());
@@ -83,3 +90,12 @@
         assert_eq!(SuspectScope::from_number(scope.number()), scope);
     }
 }
+
+/// Guards against a refusal of sound streams that ran at two servers which were lost together.
+#[test]
+fn streams_lost_together() {
+    let mut guard = CrashGuard::new();
+    guard.note_crash(at(100), 1, &[LostRun::new(at(0), stream(1))]);
+    guard.note_crash(at(103), 2, &[LostRun::new(at(10), stream(1))]);
+    assert!(guard.refusal(at(103) + SETTLED, &stream(1)).is_none());
+}
--- a/crates/verbenahinge-core/tests/support/deadly_fleet.rs
+++ b/crates/verbenahinge-core/tests/support/deadly_fleet.rs
@@ -9,7 +9,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use verbenahinge_core::gateway::{CrashGuard, DIGEST_INTERVAL, Prompt, PromptPart, Suspect};
+use verbenahinge_core::gateway::{
+    CrashGuard, DIGEST_INTERVAL, LostRun, Prompt, PromptPart, Suspect,
+};
 use verbenahinge_core::hash::mix64;
 use verbenahinge_core::{CrashId, FailureKind, Timestamp};
 
@@ -341,13 +343,13 @@
     }
 
     fn find_crash(&mut self, vm: usize, at: Timestamp, crash: CrashId, lost: &[u64]) {
-        let mut suspects = Vec::new();
+        let mut runs = Vec::new();
         for id in lost {
             if let Some(request) = self.requests.get(id) {
-                suspects.extend_from_slice(&request.suspects);
+                runs.push(LostRun::new(at, request.suspects.clone()));
             }
         }
-        if self.vms[vm].note_crash(at, crash, &suspects) {
+        if self.vms[vm].note_crash(at, crash, &runs) {
             self.push_soon(vm, PUSH_DELAY);
         }
         for &id in lost {
--- a/crates/verbenahinge/src/gateway/crash_check.rs
+++ b/crates/verbenahinge/src/gateway/crash_check.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use tokio::sync::Notify;
-use verbenahinge_core::gateway::{CrashRefusal, Suspect, SuspectScope};
+use verbenahinge_core::gateway::{CrashRefusal, LostRun, Suspect, SuspectScope};
 use verbenahinge_core::{CrashId, Fingerprint, ServerName, Timestamp};
 
 use super::{Gateway, crash_store, peers};
@@ -38,7 +38,7 @@
 /// A check that has not ended, with the requests that were lost.
 struct PendingCheck {
     broke_at: Timestamp,
-    lost: Vec<Vec<Suspect>>,
+    lost: Vec<LostRun>,
     outcome: CrashCheck,
 }
 
@@ -79,13 +79,12 @@
     }
 }
 
-/// Checks in the background whether a server has crashed whose connection broke while it ran a
-/// request with these suspects.
+/// Checks in the background whether a server has crashed whose connection broke during a run.
 pub(super) fn check_crash(
     gateway: &Rc<Gateway>,
     server: &ServerName,
     crash: CrashId,
-    suspects: Vec<Suspect>,
+    run: LostRun,
 ) -> CrashCheck {
     let now = gateway.now();
     let found_at = {
@@ -94,20 +93,20 @@
         found.get(&crash).copied()
     };
     if let Some(at) = found_at {
-        record_crash(gateway, server, crash, at, &[suspects]);
+        record_crash(gateway, server, crash, at, &[run]);
         let check = CrashCheck::default();
         check.end();
         return check;
     }
     let mut pending = gateway.crash_checks.pending.borrow_mut();
     if let Some(check) = pending.get_mut(&crash) {
-        check.lost.push(suspects);
+        check.lost.push(run);
         return check.outcome.clone();
     }
     let outcome = CrashCheck::default();
     let check = PendingCheck {
         broke_at: now,
-        lost: vec![suspects],
+        lost: vec![run],
         outcome: outcome.clone(),
     };
     pending.insert(crash, check);
@@ -159,13 +158,12 @@
     server: &ServerName,
     crash: CrashId,
     at: Timestamp,
-    lost: &[Vec<Suspect>],
+    lost: &[LostRun],
 ) {
-    let suspects: Vec<_> = lost.iter().flatten().copied().collect();
-    if !gateway.state.borrow_mut().note_crash(at, crash, &suspects) {
+    if !gateway.state.borrow_mut().note_crash(at, crash, lost) {
         return;
     }
-    for suspects in lost {
+    for LostRun { sent_at, suspects } in lost {
         let is_quarantined = {
             let state = gateway.state.borrow();
             let mut suspects = suspects.iter();
@@ -185,6 +183,7 @@
             ("fingerprint", &fingerprint),
             ("parts", &parts.join(",")),
             ("crash", &hex(crash)),
+            ("ran_ms", &at.saturating_sub(*sent_at).as_millis()),
             ("quarantined", &is_quarantined),
         ]);
     }
--- a/crates/verbenahinge/src/gateway/request_handler/crashes.rs
+++ b/crates/verbenahinge/src/gateway/request_handler/crashes.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use hyper::StatusCode;
-use verbenahinge_core::gateway::{CrashRefusal, PlacementError, RouteKind};
+use verbenahinge_core::gateway::{CrashRefusal, LostRun, PlacementError, RouteKind};
 use verbenahinge_core::{CrashId, FailureKind, ServerName, Timestamp};
 
 use super::RequestHandler;
@@ -149,7 +149,8 @@
             Some(_) => (self.call.waiting_suspects(), true),
             None => (self.call.waiting_suspects(), false),
         };
-        let check = crash_check::check_crash(&self.gateway, server, crash, suspects);
+        let run = LostRun::new(self.sent_at(server), suspects);
+        let check = crash_check::check_crash(&self.gateway, server, crash, run);
         if is_close {
             self.crash_watch.pending_check.replace(Some(check));
         }
--- a/crates/verbenahinge/tests/crashing_request.rs
+++ b/crates/verbenahinge/tests/crashing_request.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use futures_util::future::join_all;
 use verbenahinge_emulator::scripted_server::ServerFault;
 use verbenahinge_testkit::{GatewayFleet, GatewayFleetOptions, GatewayRequest, LinkFault, Proxy};
 
@@ -14,6 +15,18 @@
 /// Time after the last crash from which VMs no longer repeat it to each other.
 const REPEATED: Duration = Duration::from_secs(22);
 
+/// Copies of a request that come at the same time.
+const COPIES: usize = 2;
+
+/// Servers of a fleet in which some remain after all crashes.
+const SPARE: usize = 8;
+
+/// Calls by which a request comes again, through the VMs in turn.
+const ROUNDS: usize = 5;
+
+/// Pause between two crashes that count as separate ones.
+const CRASH_PAUSE: Duration = Duration::from_millis(200);
+
 /// Time in which a VM that starts learns the configuration from others.
 const START_TIME: Duration = Duration::from_secs(3);
 
@@ -158,3 +171,34 @@
     }
     assert_eq!(crashed_servers(&mut fleet, 3), 2);
 }
+
+/// Guards against a deadly request that comes twice at the same time and crashes more servers than its copies, the
+/// retries that they are allowed at once, and one more.
+#[actix_rt::test]
+async fn copies_crash_more() {
+    for (max_attempts, allowed) in [(1, COPIES + 1), (2, 2 * COPIES)] {
+        let attempts = format!("\"max_attempts\": {max_attempts}");
+        let config = CONFIG.replace("\"max_attempts\": 2", &attempts);
+        let options = GatewayFleetOptions::new(config).vms(2).servers(SPARE);
+        let mut fleet = GatewayFleet::start(BIN, options).await;
+        for server in 0..SPARE {
+            crash_on_request(&fleet, server).await;
+        }
+        let copies: [GatewayRequest; COPIES] =
+            std::array::from_fn(|copy| crashing(&format!("copy-{copy}")));
+        join_all(copies.iter().map(|copy| fleet.call(0, copy))).await;
+        for round in 0..ROUNDS {
+            // Each call comes after the check of the crash before.
+            actix_rt::time::sleep(CRASH_PAUSE).await;
+            let request = crashing(&format!("again-{round}"));
+            fleet.call(round % 2, &request).await;
+        }
+        let crashed = crashed_servers(&mut fleet, SPARE);
+        assert!(crashed <= allowed, "{max_attempts} attempts: {crashed}");
+        println!("{max_attempts} attempts, {COPIES} copies: {crashed} servers crashed");
+        for vm in 0..2 {
+            let refused = fleet.call(vm, &crashing("refused")).await;
+            assert_eq!(refused.status, 503);
+        }
+    }
+}
