--- a/crates/verbenahinge-testkit/src/proxy.rs
+++ b/crates/verbenahinge-testkit/src/proxy.rs
@@ -61,9 +61,19 @@
     ///
     /// Panics if no port is free.
     pub async fn start(target: SocketAddr) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0")
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self::start_at(any_port, target).await
+    }
+
+    /// Starts a proxy that listens at a loopback address in front of another one.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the address is not free.
+    pub async fn start_at(listen: SocketAddr, target: SocketAddr) -> Self {
+        let listener = TcpListener::bind(listen)
             .await
-            .expect("failed to bind a loopback port");
+            .expect("failed to bind a loopback address");
         let address = listener
             .local_addr()
             .expect("failed to read the local address");
