--- a/crates/verbenahinge/tests/refusal_verdicts.rs
+++ b/crates/verbenahinge/tests/refusal_verdicts.rs
@@ -8,7 +8,7 @@
 const BIN: &str = env!("CARGO_BIN_EXE_verbenahinge");
 
 #[actix_rt::test]
-async fn overload() {
+async fn overload_burst_refused() {
     let options = FleetOptions::new().slots(2).engine_arg("--token-ms", "150");
     let fleet = Fleet::start(BIN, options).await;
     let prompts: Vec<String> = (0..60).map(|index| format!("burst {index}")).collect();
