test(review): case 7, streams go on at another software version while the store is down

Cause: Call::may_run_at believes the registry entry of a worker that has started again under its id with another version; with the store down the entry is old, and nobody asks the worker itself.

--- a/review/kit-2.rs
+++ b/review/kit-2.rs
@@ -334,7 +334,11 @@
     service: String,
     zone: String,
     spot: bool,
-    born: u64,
+    /// Version of the software and time of the start; both change when the worker starts again.
+    version: Mutex<String>,
+    born: AtomicU64,
+    /// Whether the worker has crashed and is not back yet.
+    is_down: AtomicBool,
     events: u64,
     gap_ms: u64,
     /// Beats so far, and how many ms of notice are left from a moment on.
@@ -353,8 +357,8 @@
             None => "\"state\":\"ready\"".to_owned(),
         };
         format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":64,{leaving},\"cold_remaining_ms\":0,\"born\":{},\"spot\":{},\"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"sequence\":0}}",
-            self.service, self.address, self.zone, self.born, self.spot
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\"slots\":64,{leaving},\"cold_remaining_ms\":0,\"born\":{},\"spot\":{},\"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"sequence\":0}}",
+            self.service, self.address, self.zone, self.version.lock().unwrap(), self.born.load(SeqCst), self.spot
         )
     }
 
@@ -368,26 +372,55 @@
         put(store, "servers", &self.id, Some(&self.entry()));
         let worker = Arc::clone(self);
         thread::spawn(move || {
-            let mut last = String::new();
+            let (mut last, mut tried) = (String::new(), String::new());
             let mut beat_at = ms() + 1200;
             while !worker.is_gone.load(SeqCst) {
-                let state = worker.leaves_at.lock().unwrap().is_some().to_string();
-                if ms() >= beat_at || state != last {
-                    put(store, "servers", &worker.id, Some(&worker.entry()));
-                    beat_at = ms() + 1200;
+                sleep(10);
+                if worker.is_down.load(SeqCst) {
+                    continue;
+                }
+                // A change is written at once, and again every 0.3 s until the store has taken it.
+                let state = format!("{} {}", worker.leaves_at.lock().unwrap().is_some(), worker.born.load(SeqCst));
+                let is_due = ms() >= beat_at || (state != last && ms() + 900 >= beat_at);
+                if !is_due && state == last {
+                    continue;
+                }
+                if state != last && tried == state && ms() < beat_at {
+                    continue;
+                }
+                tried = state.clone();
+                let written = put(store, "servers", &worker.id, Some(&worker.entry()));
+                beat_at = ms() + if written { 1200 } else { 300 };
+                if written && last != state {
+                    rec(&format!("the store has taken the entry of {}: version {}", worker.id, worker.version.lock().unwrap()));
                     last = state;
                 }
-                sleep(10);
             }
             put(store, "servers", &worker.id, None);
         });
         let worker = Arc::clone(self);
         thread::spawn(move || {
-            for stream in listener.incoming() {
-                if worker.is_gone.load(SeqCst) {
-                    return;
+            let mut listener = Some(listener);
+            while !worker.is_gone.load(SeqCst) {
+                if worker.is_down.load(SeqCst) {
+                    // The port refuses connections.
+                    listener = None;
+                    sleep(5);
+                    continue;
+                }
+                if listener.is_none() {
+                    listener = TcpListener::bind(worker.address).ok();
                 }
-                let Ok(stream) = stream else { continue };
+                let Some(open) = &listener else {
+                    sleep(20);
+                    continue;
+                };
+                open.set_nonblocking(true).unwrap();
+                let Ok((stream, _)) = open.accept() else {
+                    sleep(1);
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
                 let worker = Arc::clone(&worker);
                 thread::spawn(move || {
                     let _ = worker.serve(stream);
@@ -400,9 +433,10 @@
         stream.set_nodelay(true)?;
         let mut writer = stream.try_clone()?;
         let mut reader = BufReader::new(stream);
+        let born = self.born.load(SeqCst);
         while let Some(head) = read_head(&mut reader)? {
             let body = read_body(&mut reader, &head)?;
-            if self.is_gone.load(SeqCst) {
+            if self.is_gone.load(SeqCst) || self.is_down.load(SeqCst) || self.born.load(SeqCst) != born {
                 return Ok(());
             }
             self.wait_while_silent();
@@ -446,7 +480,7 @@
             rec(&format!("{} continues {id} after event {after}, Kv-From {from}", self.id));
             self.world.moved.fetch_add(1, SeqCst);
         } else {
-            rec(&format!("{} runs {id} after event {after}", self.id));
+            rec(&format!("{} ({}) runs {id} after event {after}", self.id, self.version.lock().unwrap()));
         }
         self.world.arrivals.fetch_add(1, SeqCst);
         let run = Run { worker: self.id.clone(), next_event: after + 1, is_stopped: false, is_cut: false, has_closed: false };
@@ -455,10 +489,12 @@
             writer,
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nX-Request-Id: {id}\r\nX-Server-Signature: 3e1b.07.{id}\r\nX-Server-Load: 1,0,64\r\n\r\n"
         )?;
+        let version = self.version.lock().unwrap().clone();
+        let born = self.born.load(SeqCst);
         for event in after + 1..=self.events {
             let due = ms() + self.gap_ms;
             loop {
-                if self.is_gone.load(SeqCst) {
+                if self.is_gone.load(SeqCst) || self.is_down.load(SeqCst) || self.born.load(SeqCst) != born {
                     return Ok(false);
                 }
                 if let Some(run) = self.world.runs.lock().unwrap().get_mut(&id) {
@@ -474,7 +510,7 @@
                 }
                 sleep(2);
             }
-            let text = format!("id: {event}\ndata: {id} piece {event}\n\n");
+            let text = format!("id: {event}\ndata: {id} {version} piece {event}\n\n");
             write!(writer, "{:x}\r\n{text}\r\n", text.len())?;
             if let Some(run) = self.world.runs.lock().unwrap().get_mut(&id) {
                 run.next_event = event + 1;
@@ -543,6 +579,8 @@
     signed: bool,
     /// IDs of the events that have arrived.
     events: Vec<u64>,
+    /// Software versions of the workers that made the events.
+    versions: BTreeSet<String>,
     /// Whether the body came to its proper end.
     whole: bool,
     error: String,
@@ -574,6 +612,8 @@
             while let Some(end) = text.find("\n\n") {
                 let event: String = text.drain(..end + 2).collect();
                 let number = event.lines().find_map(|line| line.strip_prefix("id:"));
+                let version = event.lines().find_map(|line| line.strip_prefix("data:")).and_then(|data| data.split(' ').nth(2));
+                answer.versions.extend(version.map(str::to_owned));
                 answer.events.extend(number.and_then(|number| number.trim().parse::<u64>().ok()));
             }
         }
@@ -584,11 +624,12 @@
         answer.error = error.to_string();
     }
     rec(&format!(
-        "client: {id} {} gets status {}, events {:?} to {:?}, {} {}",
+        "client: {id} {} gets status {}, events {:?} to {:?} of versions {:?}, {} {}",
         after.map_or("begins".to_owned(), |(event, first)| format!("resumes {first} after {event}")),
         answer.status,
         answer.events.first(),
         answer.events.last(),
+        answer.versions,
         if answer.whole { "complete" } else { "not complete" },
         answer.error
     ));
@@ -623,7 +664,9 @@
             service: "huvo11a".to_owned(),
             zone: zone.to_owned(),
             spot: true,
-            born: unix_ms(),
+            version: Mutex::new("v1".to_owned()),
+            born: AtomicU64::new(unix_ms()),
+            is_down: AtomicBool::new(false),
             events: EVENTS,
             gap_ms: 50,
             leaves_at: Mutex::new(None),
@@ -703,6 +746,122 @@
     Ok(wrong.is_empty())
 }
 
+// ---- case 7 -------------------------------------------------------------------------------------
+
+/// While the store is down, workers start again under their ids with another version, one after the other.
+fn case7() -> Result<bool, String> {
+    const STREAMS: usize = 110;
+    const EVENTS: u64 = 100;
+    let deployment = Deployment::start(2, 260, "")?;
+    let store = deployment.store;
+    put(store, "op", "config", Some(&engine_config("")));
+    let world = Arc::new(World::default());
+    let mut workers = Vec::new();
+    for index in 0..3 {
+        let listener = TcpListener::bind(("127.0.2.100", 0)).map_err(|e| e.to_string())?;
+        let worker = Arc::new(Worker {
+            id: format!("i-7f3a91c{index}"),
+            address: listener.local_addr().unwrap(),
+            service: "huvo11a".to_owned(),
+            zone: ["bayangol", "songino"][index % 2].to_owned(),
+            spot: false,
+            version: Mutex::new("v1".to_owned()),
+            born: AtomicU64::new(unix_ms()),
+            is_down: AtomicBool::new(false),
+            events: EVENTS,
+            gap_ms: 70,
+            leaves_at: Mutex::new(None),
+            is_gone: AtomicBool::new(false),
+            silent_until: AtomicU64::new(0),
+            may_cut: AtomicBool::new(false),
+            world: Arc::clone(&world),
+        });
+        worker.start(store, listener);
+        workers.push(worker);
+    }
+    deployment.wait_ready()?;
+    sleep(1500);
+    let fronts: Vec<SocketAddr> = deployment.vms.iter().map(|vm| vm.front).collect();
+    let begun = ms();
+    let mut clients = Vec::new();
+    for index in 0..STREAMS {
+        let fronts = fronts.clone();
+        clients.push(thread::spawn(move || {
+            let id = format!("9c41d07be2a3{index:04x}");
+            let headers = format!("X-Token-Usage: 1460,400\r\nX-Prefix-Hash: {index:x}5c1e07a2:800,{index:x}e4402b7d:660\r\n");
+            let mut all: Vec<Answer> = vec![ask_stream(fronts[index % fronts.len()], "/lohu930/2f", &id, None, &headers)];
+            // A client takes a stream up that was broken off.
+            let last = all[0].events.last().copied();
+            if let (false, Some(last)) = (all[0].whole, last) {
+                let again = ask_stream(fronts[(index + 1) % fronts.len()], "/lohu930/2f", &format!("{id}b"), Some((last, &id)), &headers);
+                all.push(again);
+            }
+            (id, all)
+        }));
+        sleep(9);
+    }
+    let at = |time: u64| sleep((begun + time).saturating_sub(ms()));
+    let running = |worker: &Arc<Worker>| {
+        let runs = world.runs.lock().unwrap();
+        runs.values().filter(|run| run.worker == worker.id).count()
+    };
+    let mut by_streams: Vec<Arc<Worker>> = workers.clone();
+    // A release in place: the worker with fewest streams is first, the one with most comes next.
+    by_streams.sort_by_key(running);
+    let (first, second) = (Arc::clone(&by_streams[0]), Arc::clone(&by_streams[2]));
+    if trouble() {
+        at(1500);
+        rec("the store is down: every call gets 503");
+        let _ = call(store, "PUT", "/stand-in/faults", "{\"is_down\":true}", 1000);
+    }
+    at(2000);
+    rec(&format!("{} is stopped to start again with version v2", first.id));
+    first.is_down.store(true, SeqCst);
+    at(3000);
+    *first.version.lock().unwrap() = "v2".to_owned();
+    first.born.store(unix_ms(), SeqCst);
+    first.is_down.store(false, SeqCst);
+    rec(&format!("{} is back under its id, with version v2", first.id));
+    at(5200);
+    rec(&format!("{} is stopped to start again with version v2", second.id));
+    second.is_down.store(true, SeqCst);
+    at(6000);
+    if trouble() {
+        rec("the store is back");
+        let _ = call(store, "PUT", "/stand-in/faults", "{}", 1000);
+    }
+    at(6200);
+    *second.version.lock().unwrap() = "v2".to_owned();
+    second.born.store(unix_ms(), SeqCst);
+    second.is_down.store(false, SeqCst);
+    let (mut whole, mut broken, mut mixed, mut disordered) = (0, 0, Vec::new(), 0);
+    for client in clients {
+        let (id, answers) = client.join().map_err(|_| "a client failed")?;
+        let events: Vec<u64> = answers.iter().flat_map(|answer| answer.events.clone()).collect();
+        let versions: BTreeSet<String> = answers.iter().flat_map(|answer| answer.versions.clone()).collect();
+        if !events.iter().enumerate().all(|(index, &event)| event == index as u64 + 1) {
+            disordered += 1;
+        }
+        if versions.len() > 1 {
+            mixed.push(id);
+        }
+        if answers.last().is_some_and(|answer| answer.whole && answer.status == 200) {
+            whole += 1;
+        } else {
+            broken += 1;
+        }
+    }
+    for worker in &workers {
+        worker.is_gone.store(true, SeqCst);
+    }
+    say(&format!(
+        "{STREAMS} streams: {whole} whole, {broken} broken off or refused, {disordered} out of order; {} hold events of two versions: {mixed:?}",
+        mixed.len()
+    ));
+    // ORDER: more than two streams.
+    Ok(mixed.len() <= 2 && disordered == 0)
+}
+
 // ---- main ---------------------------------------------------------------------------------------
 
 fn main() {
@@ -723,6 +882,7 @@
     });
     let result = match case {
         "case6" => case6(),
+        "case7" => case7(),
         _ => Err(format!("no case {case:?}")),
     };
     let code = match result {
