--- a/review/kit-2.rs
+++ b/review/kit-2.rs
@@ -808,15 +808,15 @@
     Ok(wrong.is_empty())
 }
 
-// ---- case 7 -------------------------------------------------------------------------------------
+// ---- case 8 -------------------------------------------------------------------------------------
 
 /// While the store is down, workers start again under their ids with another version, one after the other.
-fn case7() -> Result<bool, String> {
+fn case8() -> Result<bool, String> {
     release_in_place(Drill::Down)
 }
 
 /// While a worker has started again under its id with another version, the store returns from an older copy.
-fn case10() -> Result<bool, String> {
+fn case7() -> Result<bool, String> {
     release_in_place(Drill::OlderCopy)
 }
 
@@ -950,7 +950,7 @@
     Ok(mixed.len() <= 2 && disordered == 0)
 }
 
-// ---- case 8 -------------------------------------------------------------------------------------
+// ---- case 10 -------------------------------------------------------------------------------------
 
 /// What a client saw of a plain request: when its answer came, if it did.
 #[derive(Clone, Debug)]
@@ -983,7 +983,7 @@
 }
 
 /// A few clients send prompts of legal size that are made of very many short parts.
-fn case8() -> Result<bool, String> {
+fn case10() -> Result<bool, String> {
     const TIMEOUT_MS: u64 = 1500;
     let crowd: u64 = std::env::var("CROWD").ok().and_then(|v| v.parse().ok()).unwrap_or(200);
     let parts: u64 = std::env::var("PARTS").ok().and_then(|v| v.parse().ok()).unwrap_or(3700);
@@ -1258,10 +1258,10 @@
     });
     let result = match case {
         "case6" => case6(),
-        "case7" => case7(),
         "case8" => case8(),
-        "case9" => case9(),
         "case10" => case10(),
+        "case9" => case9(),
+        "case7" => case7(),
         _ => Err(format!("no case {case:?}")),
     };
     let code = match result {
